--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,813 @@
+package choice
+
+// Sender is one sender's decisions. A caller makes one with Start, calls one method for each thing
+// that happens and TurnEnd once all that came in together has been told; the Sender acts by calling
+// the Host it was started with, at any time during such a call. host.go holds that interface and
+// every type that crosses it. docs/design.md gives the source of the mechanism and each departure.
+
+import (
+	"cmp"
+	"container/list"
+	"math"
+	"slices"
+)
+
+const (
+	tick          = 50 * Millisecond // renews ranks, finds silence, lets waits end
+	baseShare     = 0.25             // first retry ceiling, as a share of the shortest contract time
+	capShare      = 2.0              // highest retry ceiling, likewise
+	priorShare    = 0.25             // a call's usual time before any was measured, likewise
+	laneShare     = 4                // one slot in so many drains a destination's refused notices
+	meanGain      = 0.125            // weight of a new measurement in mean and spread
+	pastGain      = 0.02             // weight of a new measurement in an endpoint's own past
+	patience      = 4.0              // spreads above the mean before a repeatable call is given up
+	finalPatience = 4.0              // times longer where a time-out is final
+	overdueAfter  = 4.0              // times its past before a call out counts as unanswered
+	firstLimit    = 2.0              // calls out that an unknown or returning endpoint may hold
+	failsToAside  = 2                // failures in a row
+	errsToAside   = 0.5              // or this share of late outcomes
+	refusedRun    = 4                // refusals in a row, with nothing done for quietFor, mean shut
+	quietFor      = 1500 * Millisecond
+	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
+	firstTrial    = 300 * Millisecond  // first pause before an endpoint set aside is tried
+	lastTrial     = 2 * Second
+	coldPart      = 0.8        // of the budget of a returning destination that this sender uses
+	rideWeight    = 0.15       // what a further notice in a call weighs on a cold destination
+	paceCut       = 0.7        // of the rate that met a refusal
+	loadSpan      = 2 * Second // over which sends, and below dones, are averaged
+	goodSpan      = 4 * Second
+	paceGrow      = 0.05 // a second
+	leastPace     = 0.3  // calls a second
+	crowdFrom     = 0.7  // share of MaxOpen from which notices are turned away by chance
+)
+
+const (
+	tickTimer   TimerID = 0
+	firstNotice TimerID = 1 // ids from here on stand for notices
+)
+
+// notice is one held notice; it leaves Sender.held once it is over and nothing of it is out.
+type notice struct {
+	Notice
+	w                                      *Workload
+	d                                      *destination
+	out                                    *call
+	queue                                  *list.List
+	elem                                   *list.Element
+	line                                   *keyLine
+	gain                                   float64
+	tries                                  int
+	born, sentAt, mayRunAt, dueAt, checkAt Time
+	group                                  ZoneNo
+	mayRun, refused, over                  bool
+}
+
+// keyLine holds the notices of one order key in the order taken; dropped when empty and rested.
+type keyLine struct {
+	key       OrderKey
+	notices   []*notice
+	restUntil Time
+}
+
+type destination struct {
+	route            *route
+	ranked           []*endpoint
+	fresh            []*list.List // one for each workload
+	due, lane        *list.List
+	bundle           int
+	laneOut, waiting int
+}
+
+// route is what limits, waits and a return from an outage are counted for: a destination, or one
+// endpoint where endpoints are routes apart.
+type route struct {
+	pace                         bucket // rate 0 while no limit was met
+	load, good                   meter  // own calls sent and notices done
+	peak, rating, limit          float64
+	haltUntil, lastGood, lastCut Time
+	run                          int // refusals since something was done
+}
+
+type endpoint struct {
+	id                                               EndpointID
+	d                                                *destination
+	route                                            *route
+	zone                                             ZoneNo
+	calls, overdue, fails                            int
+	limit, mean, dev, past, errs                     float64
+	heardAt, goodAt, asideAt, step, tryAt, coldUntil Time
+	listed, aside, probing                           bool
+	cold                                             bucket
+	open                                             *call
+}
+
+// call is one slot: the notices sent to one endpoint in one turn, until all have their outcomes.
+type call struct {
+	e                     *endpoint
+	sentAt                Time
+	n, left               int
+	lane, judged, overdue bool
+}
+
+type Sender struct {
+	h                                                       Host
+	chance                                                  chance
+	workloads                                               []Workload
+	kinds                                                   []Kind
+	shares                                                  []bucket // by account
+	zone                                                    ZoneNo
+	slots, laneMax, maxOpen, maxTries                       int
+	senders, prior, topGain, overGain, ratingPart, coldRate float64
+	now, base, cap, turn, cold, keyRest, askAt              Time
+	longest                                                 Time // 0 where a shed reply names no time
+	askEvery                                                Time // 0 where the list comes by itself
+	probes, watching, halving                               bool
+	lastTimer                                               TimerID
+
+	held         map[NoticeID]*notice  // emptied as notices end
+	timers       map[TimerID]*notice   // emptied as each fires, at a notice's hard stop at the latest
+	lines        map[OrderKey]*keyLine // emptied when a key has no notice and its rest is over
+	destinations []*destination        // one for each destination met
+	byID         map[DestinationID]*destination
+	endpoints    map[EndpointID]*endpoint // emptied by the tick once gone and without calls
+	calls        []*call                  // at most one for each slot
+	opened       []*endpoint              // emptied at each turn's end
+}
+
+// Start begins an empty sender. Nothing of an earlier life reaches it.
+func Start(h Host, id SenderID, seed int64, set Settings) *Sender {
+	s := &Sender{
+		h: h, chance: newChance(id, seed), now: h.Now(),
+		kinds: set.Kinds, workloads: set.Workloads, halving: set.Halving, slots: set.Slots,
+		laneMax: max(1, set.Slots/laneShare),
+		maxOpen: set.MaxOpen, maxTries: set.MaxDispatches, senders: float64(set.Senders),
+		zone: set.Zone, overGain: set.OverShareGain, probes: set.Probing, turn: max(1, set.Turn),
+		coldRate: set.FallMultiple * set.ColdFrom * coldPart, cold: set.Cold, keyRest: set.KeyRest,
+		lastTimer: firstNotice, held: map[NoticeID]*notice{}, timers: map[TimerID]*notice{},
+		lines: map[OrderKey]*keyLine{}, byID: map[DestinationID]*destination{},
+		endpoints: map[EndpointID]*endpoint{},
+	}
+	if set.NamesReturn {
+		s.longest = set.LongestReturn
+	}
+	switch set.Rating {
+	case RatingExact:
+		s.ratingPart = 1 / s.senders
+	case RatingRough: // it may be half too high
+		s.ratingPart = 1 / (1.5 * s.senders)
+	}
+	shortest := Time(math.MaxInt64)
+	for _, w := range set.Workloads {
+		shortest = min(shortest, max(1, w.ContractTime))
+		s.topGain = max(s.topGain, w.Gain)
+	}
+	s.base = max(1, Time(baseShare*float64(shortest)))
+	s.cap = max(s.base, Time(capShare*float64(shortest)))
+	s.prior = max(1, priorShare*float64(shortest))
+	for _, q := range set.Quotas {
+		s.shares = append(s.shares, bucket{q / s.senders, max(1, q/s.senders), s.now})
+	}
+	if set.AskForList {
+		s.askEvery = max(Second, set.AskWithin/4)
+		s.ask()
+	}
+	h.Timer(tick, tickTimer)
+	return s
+}
+
+func (s *Sender) ask() {
+	s.h.Watch(true)
+	s.askAt = s.now + s.askEvery
+}
+
+// ListNews tells entries of the list: all of them, or those that changed. A stale list is what this
+// sender knew before it started; it does not show that a watch stands.
+func (s *Sender) ListNews(entries []Entry, whole, stale bool) {
+	s.now = s.h.Now()
+	if !stale {
+		s.watching = true
+	}
+	if whole {
+		for _, e := range s.endpoints {
+			e.listed = false
+		}
+	}
+	for _, entry := range entries {
+		d := s.destination(entry.Destination)
+		kind := Kind{BundleMax: 1}
+		if entry.Kind >= 0 && int(entry.Kind) < len(s.kinds) {
+			kind = s.kinds[entry.Kind]
+		}
+		d.bundle = kind.BundleMax
+		e := s.endpoints[entry.Endpoint]
+		if e == nil || e.d != d {
+			e = &endpoint{id: entry.Endpoint, d: d, route: d.route, limit: firstLimit,
+				mean: s.prior, dev: s.prior / 2, past: s.prior}
+			if kind.Apart {
+				e.route = &route{}
+			}
+			s.endpoints[e.id] = e
+			d.ranked = append(d.ranked, e)
+		}
+		e.zone, e.listed = entry.Zone, entry.Stage == Ready
+		e.route.rating = entry.Rating * s.ratingPart
+	}
+}
+
+// ListFailed tells that a watch could not be had or broke; whether one stands is not known.
+func (s *Sender) ListFailed() {
+	s.now = s.h.Now()
+	s.watching = false
+	s.askAt = s.now + s.chance.upTo("list", s.askEvery)
+}
+
+func (s *Sender) destination(id DestinationID) *destination {
+	d := s.byID[id]
+	if d == nil {
+		d = &destination{bundle: 1, route: &route{}, due: list.New(), lane: list.New()}
+		for range s.workloads {
+			d.fresh = append(d.fresh, list.New())
+		}
+		s.byID[id] = d
+		s.destinations = append(s.destinations, d)
+	}
+	return d
+}
+
+// Taken tells of a new notice.
+func (s *Sender) Taken(in Notice) {
+	s.now = s.h.Now()
+	w := &s.workloads[in.Workload]
+	n := &notice{Notice: in, w: w, d: s.destination(in.Destination), gain: w.Gain}
+	n.born = in.HardStop - w.HardStop
+	if a := int(in.Account); a >= 0 && a < len(s.shares) {
+		if b := &s.shares[a]; b.fill(s.now, max(1, b.rate)) >= 1 {
+			b.level--
+		} else {
+			n.gain *= s.overGain
+		}
+	}
+	s.held[n.ID] = n
+	if s.now > s.lastSend(n) || s.turnsAway(n) {
+		s.finish(n)
+		return
+	}
+	s.check(n)
+	if w.ByArrival && n.Key != NoKey {
+		n.line = s.lines[n.Key]
+		if n.line == nil {
+			n.line = &keyLine{key: n.Key}
+			s.lines[n.Key] = n.line
+		}
+		n.line.notices = append(n.line.notices, n)
+	}
+	s.queue(n)
+}
+
+// turnsAway keeps room below MaxOpen, against being closed to all when one destination's backlog
+// fills it. It turns away by chance, the cheaper more often.
+func (s *Sender) turnsAway(n *notice) bool {
+	p := (float64(len(s.held))/float64(s.maxOpen) - crowdFrom) / (1 - crowdFrom)
+	return p > 0 && s.chance.share(string(n.ID)) < p*(2-n.gain/s.topGain)
+}
+
+// queue puts a notice where it waits for a slot, if its key lets it.
+func (s *Sender) queue(n *notice) {
+	if n.line != nil && (n.line.notices[0] != n || s.now < n.line.restUntil && n.tries == 0) {
+		return
+	}
+	switch {
+	case n.tries == 0:
+		n.queue = n.d.fresh[n.Workload]
+	case n.refused:
+		n.queue = n.d.lane
+	default:
+		n.queue = n.d.due
+	}
+	n.elem = n.queue.PushBack(n)
+	n.d.waiting++
+}
+
+func (s *Sender) unqueue(n *notice) {
+	if n.elem != nil {
+		n.queue.Remove(n.elem)
+		n.queue, n.elem = nil, nil
+		n.d.waiting--
+	}
+}
+
+func (s *Sender) wake(n *notice, at Time) {
+	s.lastTimer++
+	s.timers[s.lastTimer] = n
+	s.h.Timer(max(1, at-s.now), s.lastTimer)
+}
+
+// check sees to it that a held notice is answered once no dispatch of it can end in time, against
+// losing it when nothing else happens to its destination.
+func (s *Sender) check(n *notice) {
+	n.checkAt = s.lastSend(n) + 1
+	s.wake(n, n.checkAt)
+}
+
+// lastSend is the last time at which a dispatch has room for one usual call.
+func (s *Sender) lastSend(n *notice) Time {
+	usual := min(s.usual(n.d), float64(n.w.HardStop)/4)
+	last := n.HardStop - Time(math.Ceil(usual)) - 2*s.turn
+	if n.mayRun && n.w.Repeat == Tokened {
+		last = min(last, n.mayRunAt+n.w.RepeatWindow-s.turn)
+	}
+	return last
+}
+
+// worth is the gain that a notice still earns if it is sent now.
+func (s *Sender) worth(n *notice) float64 {
+	late := s.now + Time(s.usual(n.d)) - n.born - n.w.ContractTime
+	if late <= 0 {
+		return n.gain
+	}
+	if s.halving {
+		return n.gain * max(n.w.LateGain, math.Exp2(-float64(late)/float64(max(1, n.w.ContractTime))))
+	}
+	over := float64(late) / float64(max(1, n.w.HardStop-n.w.ContractTime))
+	return n.gain * max(0, 1-(1-n.w.LateGain)*over)
+}
+
+func (s *Sender) usual(d *destination) float64 {
+	for _, e := range d.ranked {
+		if e.listed && !e.aside {
+			return e.mean
+		}
+	}
+	return s.prior
+}
+
+// Withdrawn tells that nobody wants a notice any more; what is out of it still ends by itself.
+func (s *Sender) Withdrawn(id NoticeID) {
+	s.now = s.h.Now()
+	if n := s.held[id]; n != nil && !n.over {
+		n.over = true
+		s.unqueue(n)
+		s.release(n)
+	}
+}
+
+// finish answers a notice: shed where every dispatch is proven never to have run, else given up.
+func (s *Sender) finish(n *notice) {
+	n.over = true
+	s.unqueue(n)
+	if n.mayRun || n.out != nil {
+		s.h.GiveUp(n.ID)
+	} else {
+		back := Time(0)
+		if s.longest > 0 {
+			back = min(s.longest, max(s.base, s.haltEnd(n.d)-s.now))
+		}
+		s.h.Shed(n.ID, back)
+	}
+	s.release(n)
+}
+
+func (s *Sender) release(n *notice) {
+	if !n.over || n.out != nil {
+		return
+	}
+	delete(s.held, n.ID)
+	line := n.line
+	if line == nil {
+		return
+	}
+	i := slices.Index(line.notices, n)
+	line.notices = slices.Delete(line.notices, i, i+1)
+	if s.now < line.restUntil {
+		s.wake(n, line.restUntil)
+	} else {
+		s.advance(line)
+	}
+}
+
+// advance gives a key's turn to its next notice, unless that has it already or the key rests.
+func (s *Sender) advance(line *keyLine) {
+	if len(line.notices) == 0 {
+		delete(s.lines, line.key)
+	} else if n := line.notices[0]; n.tries == 0 && n.elem == nil {
+		s.queue(n)
+	}
+}
+
+// haltEnd is when the first endpoint of a destination may be sent to again.
+func (s *Sender) haltEnd(d *destination) Time {
+	end := Time(math.MaxInt64)
+	for _, e := range d.ranked {
+		if e.listed {
+			end = min(end, e.route.haltUntil)
+		}
+	}
+	if end == math.MaxInt64 {
+		return d.route.haltUntil
+	}
+	return end
+}
+
+// Ended tells how a dispatch ended.
+func (s *Sender) Ended(o Outcome) {
+	s.now = s.h.Now()
+	n := s.held[o.Notice]
+	if n == nil || n.out == nil || o.Dispatch != n.tries-1 {
+		return
+	}
+	c := n.out
+	n.out = nil
+	if !c.judged && o.Result != Moot {
+		c.judged = true
+		s.learn(c, o)
+	}
+	if o.Result == Done {
+		r := c.e.route
+		r.good.count(s.now, goodSpan)
+		r.peak = max(r.peak, r.good.rate)
+	}
+	c.left--
+	if c.left == 0 {
+		s.hangUp(c)
+	}
+	switch o.Result {
+	case Errored, TimedOut, Reset, Cancelled:
+		if !n.mayRun {
+			n.mayRun, n.mayRunAt, n.group = true, n.sentAt, c.e.zone
+		}
+		if n.line != nil && o.Result != Errored {
+			n.line.restUntil = s.now + s.keyRest
+		}
+	}
+	n.over = n.over || o.Final
+	if n.over {
+		s.release(n)
+		return
+	}
+	n.refused = o.Result == Full
+	s.again(n)
+}
+
+// again keeps the ordinary path of a retry: capped doubling ceilings, full jitter.
+func (s *Sender) again(n *notice) {
+	last := s.lastSend(n)
+	if n.tries >= s.maxTries || n.mayRun && n.w.Repeat == SingleUse || s.now >= last || s.haltEnd(n.d) > last {
+		s.finish(n)
+		return
+	}
+	ceiling := min(s.cap, s.base<<min(n.tries-1, 20))
+	n.dueAt = min(s.now+s.chance.upTo(string(n.ID), ceiling), last)
+	s.wake(n, n.dueAt)
+	if last < n.checkAt-1 {
+		s.check(n)
+	}
+}
+
+func (s *Sender) hangUp(c *call) {
+	c.e.calls--
+	if c.overdue {
+		c.e.overdue--
+	}
+	if c.lane {
+		c.e.d.laneOut--
+	}
+	if i := slices.Index(s.calls, c); i >= 0 {
+		s.calls = slices.Delete(s.calls, i, i+1)
+	}
+}
+
+// learn takes from one call's fate what it says of its endpoint, once for all notices in it.
+func (s *Sender) learn(c *call, o Outcome) {
+	e, r := c.e, c.e.route
+	if o.Report.Known {
+		r.limit = o.Report.Limit
+	}
+	if o.Result != TimedOut && o.Result != ConnectFailed && o.Result != Cancelled {
+		e.heardAt = s.now
+	}
+	switch o.Result {
+	case Done:
+		e.measure(float64(o.Took))
+		e.goodAt, r.lastGood = s.now, s.now
+		e.fails, r.run = 0, 0
+		e.errs *= 1 - meanGain
+		if e.aside {
+			s.comeBack(e, c.sentAt)
+		} else if e.mean < 2*e.past {
+			e.limit = min(float64(s.slots), e.limit+1/e.limit)
+		}
+	case Full:
+		s.refused(e, o.Wait)
+	case Errored, Reset:
+		s.failed(e)
+	case ConnectFailed:
+		// A full table of connections refuses new ones while calls on the old ones are answered.
+		if e.goodAt > c.sentAt {
+			e.limit = max(1, min(e.limit, float64(e.calls))-1)
+		} else {
+			s.failed(e)
+		}
+	case TimedOut:
+		e.measure(float64(o.Took))
+		if e.goodAt > c.sentAt {
+			e.limit = max(1, e.limit/2)
+		} else {
+			s.failed(e)
+		}
+	}
+}
+
+func (e *endpoint) measure(took float64) {
+	e.dev += meanGain * (math.Abs(took-e.mean) - e.dev)
+	e.mean += meanGain * (took - e.mean)
+	e.past += pastGain * (took - e.past)
+	e.past = min(e.past, e.mean)
+}
+
+func (s *Sender) refused(e *endpoint, wait Time) {
+	r := e.route
+	r.run++
+	if wait > 0 {
+		// Jittered, so that senders told alike do not return in step.
+		r.haltUntil = max(r.haltUntil, s.now+wait+s.chance.upTo(string(e.id), min(wait/8, tick*4)))
+		if wait > longWait {
+			for _, other := range e.d.ranked {
+				if other.route == r {
+					other.chill(r.haltUntil, s.cold)
+				}
+			}
+			return
+		}
+	}
+	if r.run >= refusedRun && s.now-r.lastGood > quietFor {
+		s.setAside(e)
+	}
+	if s.now-r.lastCut > Second {
+		r.lastCut = s.now
+		r.pace.rate = max(leastPace, r.limit/s.senders/2, paceCut*r.load.read(s.now, loadSpan))
+	}
+}
+
+func (s *Sender) failed(e *endpoint) {
+	e.fails++
+	e.errs += meanGain * (1 - e.errs)
+	if e.aside || e.fails >= failsToAside || e.errs > errsToAside {
+		s.setAside(e)
+	}
+}
+
+// setAside stops sends to an endpoint whose calls fail, whatever the cause, until a probe, or a
+// trial where probes are forbidden, is answered. Harm: a healthy endpoint with two chance failures.
+func (s *Sender) setAside(e *endpoint) {
+	if e.aside {
+		e.step = min(lastTrial, 2*e.step)
+	} else {
+		e.aside, e.asideAt, e.step = true, s.now, firstTrial
+	}
+	e.tryAt = s.now + e.step/2 + s.chance.upTo(string(e.id), e.step/2)
+}
+
+// comeBack ends being set aside. An answer to a call from before shows that it was slow, not out.
+func (s *Sender) comeBack(e *endpoint, sentAt Time) {
+	e.fails, e.errs = 0, 0
+	if e.aside && sentAt >= e.asideAt {
+		e.chill(s.now, s.cold)
+	}
+	e.aside = false
+}
+
+// chill bounds all sends to an endpoint while it may be cold: against pushing over what returns.
+func (e *endpoint) chill(from, cold Time) {
+	e.limit, e.mean = firstLimit, e.past
+	e.coldUntil, e.cold.level, e.cold.at = from+cold, 1, from
+}
+
+// known is what a route takes, as this sender's part in calls a second: by report, rating or own past.
+func (s *Sender) known(r *route) float64 {
+	return max(leastPace, r.limit/s.senders, r.rating, r.peak)
+}
+
+func (s *Sender) coldReady(e *endpoint) bool {
+	if s.now >= e.coldUntil {
+		return true
+	}
+	ends := 1
+	if e.route == e.d.route {
+		ends = len(e.d.ranked)
+	}
+	e.cold.rate = s.coldRate * s.known(e.route) / float64(ends)
+	return e.cold.fill(s.now, 1) >= 1
+}
+
+func (r *route) ready(now Time) bool {
+	return now >= r.haltUntil && (r.pace.rate == 0 || r.pace.fill(now, max(1, r.pace.rate/2)) >= 1)
+}
+
+// Probed tells what a probe found.
+func (s *Sender) Probed(id EndpointID, result Result) {
+	s.now = s.h.Now()
+	e := s.endpoints[id]
+	if e == nil || !e.probing {
+		return
+	}
+	e.probing = false
+	if e.aside && result == Done {
+		s.comeBack(e, s.now)
+	} else if e.aside {
+		s.setAside(e)
+	}
+}
+
+// Noted tells of a peer's note. No note is sent today: see docs/design.md for what they earned.
+func (s *Sender) Noted(from PeerNo, body []byte) {}
+
+// TimerDue tells that a timer came due; one of a notice that has ended is ignored.
+func (s *Sender) TimerDue(id TimerID) {
+	s.now = s.h.Now()
+	if id == tickTimer {
+		s.h.Timer(tick, tickTimer)
+		s.renew()
+		return
+	}
+	n := s.timers[id]
+	delete(s.timers, id)
+	if n == nil || n.out != nil {
+		return
+	}
+	if n.over {
+		if n.line != nil && s.now >= n.line.restUntil && s.lines[n.Key] == n.line {
+			s.advance(n.line)
+		}
+		return
+	}
+	if s.now > s.lastSend(n) {
+		s.finish(n)
+		return
+	}
+	if n.elem == nil && (n.tries == 0 || s.now >= n.dueAt) {
+		s.queue(n)
+	}
+	if s.now >= n.checkAt {
+		s.check(n)
+	}
+}
+
+// renew ranks the endpoints by what was measured, finds calls gone unanswered, probes what is aside.
+func (s *Sender) renew() {
+	for _, c := range s.calls {
+		if e := c.e; !c.overdue && float64(s.now-c.sentAt) > max(2*s.prior, overdueAfter*e.past) {
+			c.overdue = true
+			e.overdue++
+			if e.overdue >= failsToAside && e.heardAt <= c.sentAt && !e.aside {
+				s.setAside(e)
+			}
+		}
+	}
+	for _, d := range s.destinations {
+		d.ranked = slices.DeleteFunc(d.ranked, func(e *endpoint) bool {
+			if e.listed || e.calls > 0 || e.probing || s.now < max(e.coldUntil, e.route.haltUntil) {
+				return false
+			}
+			delete(s.endpoints, e.id)
+			return true
+		})
+		for _, e := range d.ranked {
+			// Room is tried again little by little, shared by the endpoints of a route.
+			e.route.pace.rate *= 1 + paceGrow*seconds(tick)/float64(len(d.ranked))
+		}
+		slices.SortStableFunc(d.ranked, func(a, b *endpoint) int {
+			return cmp.Compare(a.mean*(1+a.errs), b.mean*(1+b.errs))
+		})
+		for _, e := range d.ranked {
+			if s.probes && e.aside && e.listed && !e.probing && s.now >= max(e.tryAt, e.route.haltUntil) {
+				e.probing = true
+				s.h.Probe(e.id)
+			}
+		}
+	}
+	if s.askEvery > 0 && !s.watching && s.now >= s.askAt {
+		s.ask()
+	}
+}
+
+// TurnEnd fills free slots, now that all that came in this turn is known.
+func (s *Sender) TurnEnd() {
+	s.now = s.h.Now()
+	for {
+		n, e := s.next()
+		if n == nil {
+			break
+		}
+		s.dispatch(n, e)
+	}
+	for _, e := range s.opened {
+		e.open = nil
+	}
+	s.opened = s.opened[:0]
+}
+
+// next finds the notice to send next: the fresh tier before any retry, and in a tier the newest of
+// each destination and workload by gain for the slot time it should take.
+func (s *Sender) next() (best *notice, to *endpoint) {
+	for tier := range 2 {
+		top := 0.0
+		for _, d := range s.destinations {
+			if d.waiting == 0 {
+				continue
+			}
+			lists := d.fresh
+			if tier == 1 {
+				lists = []*list.List{d.due, d.lane}
+			}
+			for _, l := range lists {
+				if l.Len() == 0 {
+					continue
+				}
+				n := l.Back().Value.(*notice)
+				e := s.place(n, l == d.lane && d.laneOut >= s.laneMax)
+				if e == nil {
+					continue
+				}
+				if v := (s.worth(n) + 1e-6) / max(1, e.mean); v > top {
+					best, to, top = n, e, v
+				}
+			}
+		}
+		if best != nil {
+			return best, to
+		}
+	}
+	return nil, nil
+}
+
+// place finds the endpoint for a notice: the first of the ranked order with room.
+func (s *Sender) place(n *notice, rideOnly bool) *endpoint {
+	var trial *endpoint
+	for _, e := range n.d.ranked {
+		if !e.listed || s.now < e.route.haltUntil {
+			continue
+		}
+		if n.mayRun && n.w.ZoneGroup && e.zone != n.group {
+			continue
+		}
+		if e.open != nil && e.open.n < n.d.bundle {
+			return e
+		}
+		if rideOnly || len(s.calls) >= s.slots {
+			continue
+		}
+		if e.aside {
+			// Where probes are forbidden a single dispatch tries it, one that may be repeated if any comes.
+			wait := e.tryAt
+			if n.w.Repeat == SingleUse {
+				wait += lastTrial / 2
+			}
+			if !s.probes && e.calls == 0 && s.now >= wait && trial == nil {
+				trial = e
+			}
+			continue
+		}
+		if float64(e.calls) < e.limit/float64(int(1)<<min(e.overdue, 8)) && e.route.ready(s.now) && s.coldReady(e) {
+			return e
+		}
+	}
+	return trial
+}
+
+func (s *Sender) dispatch(n *notice, e *endpoint) {
+	lane := n.queue == n.d.lane
+	s.unqueue(n)
+	c := e.open
+	if c == nil || c.n >= n.d.bundle {
+		c = &call{e: e, sentAt: s.now, lane: lane}
+		if lane {
+			n.d.laneOut++
+		}
+		e.open = c
+		e.calls++
+		e.cold.level--
+		e.route.pace.level--
+		e.route.load.count(s.now, loadSpan)
+		s.calls = append(s.calls, c)
+		s.opened = append(s.opened, e)
+	} else {
+		e.cold.level -= rideWeight
+	}
+	c.n++
+	c.left++
+	n.out, n.sentAt = c, s.now
+	n.tries++
+	s.h.Dispatch(n.ID, e.id, s.timeOut(n, e))
+}
+
+// timeOut ends a call whose answer is no longer to be expected, by measured times.
+func (s *Sender) timeOut(n *notice, e *endpoint) Time {
+	usual := max(2*s.prior, e.mean+patience*e.dev)
+	if n.w.Repeat == SingleUse {
+		usual *= finalPatience
+	}
+	if t := Time(math.Ceil(usual)); s.now+2*t < n.HardStop {
+		return t
+	}
+	return max(1, n.HardStop-s.now-s.turn)
+}
--- /dev/null
+++ b/choice/host.go
@@ -0,0 +1,180 @@
+// Package choice decides what a sender does with every notice it takes.
+// This file holds what the module is told and what it may ask for; it decides nothing.
+package choice
+
+// Time is a point on the host's clock or a span, in whole tenths of a millisecond.
+type Time int64
+
+// Millisecond and Second convert plain figures to Time.
+const (
+	Millisecond Time = 10
+	Second           = 1000 * Millisecond
+)
+
+// Each kind of id is a type of its own, so that none can stand in for another.
+type (
+	SenderID      string
+	NoticeID      string
+	EndpointID    string
+	DestinationID int64
+	WorkloadNo    int
+	AccountNo     int
+	ZoneNo        int
+	KindNo        int
+	PeerNo        int
+	OrderKey      int64
+	TimerID       int64
+)
+
+// NoKey stands for a notice without an order key.
+const NoKey OrderKey = -1
+
+// EveryPeer addresses a note to all other senders.
+const EveryPeer PeerNo = -1
+
+// Repeat says what a workload allows to happen twice.
+type Repeat int
+
+const (
+	Replayable Repeat = iota
+	Tokened
+	SingleUse
+)
+
+// Workload is one workload's settings.
+type Workload struct {
+	Repeat       Repeat
+	ZoneGroup    bool // a tokened repeat is known only to endpoints of one zone
+	RepeatWindow Time
+	ContractTime Time
+	HardStop     Time
+	Gain         float64
+	LateGain     float64 // share of Gain left at the hard stop
+	ByArrival    bool    // notices of one key keep their order
+}
+
+// Kind is what the settings tell of one kind of destination.
+type Kind struct {
+	BundleMax int
+	Apart     bool // its endpoints are separate routes
+}
+
+// Rating says what Entry.Rating holds.
+type Rating int
+
+const (
+	RatingNone Rating = iota
+	RatingRough
+	RatingExact
+)
+
+// Settings are handed in once, at start.
+type Settings struct {
+	Senders        int
+	Number         PeerNo
+	Zone           ZoneNo
+	Slots          int
+	MaxOpen        int
+	MaxDispatches  int
+	Workloads      []Workload
+	Kinds          []Kind
+	Quotas         []float64 // notices a second inside each account's share, all senders together
+	OverShareGain  float64
+	Halving        bool // gain halves with each further contract time; else it falls evenly
+	Probing        bool
+	Notes          bool
+	Cancelling     bool
+	NamesReturn    bool // a shed reply may name a time to come back
+	LongestReturn  Time
+	DialTimeout    Time
+	Turn           Time // turns come at most this often
+	AskForList     bool
+	AskWithin      Time
+	Rating         Rating
+	FallMultiple   float64
+	Fall           Time
+	ColdFrom       float64
+	Cold           Time
+	KeyRest        Time
+	RefusedPrice   float64
+	HandshakePrice float64
+}
+
+// Stage is what the list says of an endpoint.
+type Stage int
+
+const (
+	Ready Stage = iota
+	Draining
+	Gone
+)
+
+// Entry is one endpoint of the list.
+type Entry struct {
+	Endpoint    EndpointID
+	Destination DestinationID
+	Kind        KindNo
+	Zone        ZoneNo
+	Rating      float64
+	Stage       Stage
+}
+
+// Notice is one notice as it was taken.
+type Notice struct {
+	ID          NoticeID
+	Workload    WorkloadNo
+	Account     AccountNo
+	Key         OrderKey
+	HardStop    Time // on the clock
+	Destination DestinationID
+}
+
+// Result is how a dispatch or a probe ended.
+type Result int
+
+const (
+	Done Result = iota
+	Errored
+	Full
+	TimedOut
+	ConnectFailed
+	Reset
+	Cancelled
+	Moot
+)
+
+// Report is what an answer tells of a limit; Known is false where it tells nothing.
+type Report struct {
+	Known bool
+	Left  float64 // share of the allowance left
+	Limit float64 // calls a second; 0 where there is none
+}
+
+// Outcome is how one dispatch ended.
+type Outcome struct {
+	Notice   NoticeID
+	Dispatch int
+	Endpoint EndpointID
+	Took     Time
+	Final    bool // nothing more is owed for the notice
+	Result   Result
+	Wait     Time // told with Full; 0 when none was
+	NoSlot   bool // told with Moot
+	Report   Report
+}
+
+// Host is all that the module can do to the world. Calls take effect in the order made.
+type Host interface {
+	Now() Time
+	Dispatch(n NoticeID, to EndpointID, timeOut Time)
+	Shed(n NoticeID, comeBackIn Time) // 0 names no time
+	GiveUp(n NoticeID)
+	Cancel(n NoticeID, dispatch int)
+	Probe(e EndpointID)
+	Note(to PeerNo, body []byte)
+	Watch(on bool)
+	Fetch()
+	CloseIdle(e EndpointID)
+	Timer(in Time, id TimerID)
+	Log(text string)
+}
--- /dev/null
+++ b/choice/measure.go
@@ -0,0 +1,64 @@
+package choice
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"math"
+)
+
+// This file holds plain arithmetic that choice.go uses; no decision and no tuned value.
+
+func seconds(t Time) float64 { return float64(t) / float64(Second) }
+
+// chance draws from the seed, an id and a counter.
+type chance struct {
+	seed  []byte
+	drawn uint64
+}
+
+func newChance(id SenderID, seed int64) chance {
+	return chance{seed: binary.LittleEndian.AppendUint64([]byte(id), uint64(seed))}
+}
+
+// share is uniform in [0, 1).
+func (c *chance) share(id string) float64 {
+	c.drawn++
+	sum := crc32.ChecksumIEEE(c.seed)
+	sum = crc32.Update(sum, crc32.IEEETable, []byte(id))
+	sum = crc32.Update(sum, crc32.IEEETable, binary.LittleEndian.AppendUint64(nil, c.drawn))
+	return float64(sum) / (1 << 32)
+}
+
+// upTo is uniform in (0, ceiling].
+func (c *chance) upTo(id string, ceiling Time) Time {
+	return max(1, Time(math.Ceil(c.share(id)*float64(ceiling))))
+}
+
+// bucket fills at rate a second up to a size given at each look.
+type bucket struct {
+	rate, level float64
+	at          Time
+}
+
+func (b *bucket) fill(now Time, size float64) float64 {
+	if now > b.at {
+		b.level += b.rate * seconds(now-b.at)
+		b.at = now
+	}
+	b.level = min(b.level, size)
+	return b.level
+}
+
+// meter counts events a second, older ones fading over a span given at each use.
+type meter struct {
+	rate float64
+	at   Time
+}
+
+func (m *meter) read(now, span Time) float64 {
+	return m.rate * math.Exp(-seconds(now-m.at)/seconds(span))
+}
+
+func (m *meter) count(now, span Time) {
+	m.rate, m.at = m.read(now, span)+1/seconds(span), now
+}
--- /dev/null
+++ b/internal/drill/settings.go
@@ -0,0 +1,147 @@
+package drill
+
+import (
+	"errors"
+	"fmt"
+	"math"
+
+	"flaxcove/choice"
+)
+
+// bootInfo names the keys that are read; the others are skipped.
+type bootInfo struct {
+	Accounts []struct {
+		QuotaRps float64
+	}
+	Balancers int
+	Bounds    struct {
+		Cancel        bool
+		DialTimeout   int64
+		MaxAttempts   int
+		MaxOpen       int
+		MaxRetryAfter int64
+		Peers         bool
+		Probing       bool
+		RetryAfter    bool
+	}
+	Classes []struct {
+		Aim          int64
+		Deadline     int64
+		Group        string
+		Idempotency  string
+		ByArrival    bool
+		LateWorth    float64
+		RepeatWindow int64
+		Worth        float64
+	}
+	Deductions struct{ Handshake float64 }
+	Discovery  string
+	Extra      struct {
+		BundleMax       []int
+		CallsOut        int
+		Fades           string
+		SeparateRoutes  []bool
+		TurnedAwayPrice float64
+	}
+	MachineTypes   []string
+	OverShareWorth float64
+	Quantum        int64
+	Rules          struct {
+		AskWithin    int64
+		Cold         int64
+		ColdFrom     float64
+		Fall         int64
+		FallMultiple float64
+		KeyRest      int64
+	}
+	SlotNo  int
+	Stats   struct{ Fields []string }
+	Weights string
+	Zone    int
+}
+
+var repeats = map[string]choice.Repeat{
+	"pure": choice.Replayable, "token": choice.Tokened, "side_effect": choice.SingleUse,
+}
+
+var ratings = map[string]choice.Rating{
+	"": choice.RatingNone, "off": choice.RatingNone,
+	"rough": choice.RatingRough, "nominal": choice.RatingExact, "live": choice.RatingRough,
+}
+
+func (b *bootInfo) settings() (choice.Settings, error) {
+	s := choice.Settings{
+		Senders:        max(1, b.Balancers),
+		Number:         choice.PeerNo(b.SlotNo),
+		Zone:           choice.ZoneNo(b.Zone),
+		Slots:          b.Extra.CallsOut,
+		MaxOpen:        b.Bounds.MaxOpen,
+		MaxDispatches:  b.Bounds.MaxAttempts,
+		OverShareGain:  b.OverShareWorth,
+		Halving:        b.Extra.Fades == "halving",
+		Probing:        b.Bounds.Probing,
+		Notes:          b.Bounds.Peers,
+		Cancelling:     b.Bounds.Cancel,
+		NamesReturn:    b.Bounds.RetryAfter,
+		LongestReturn:  down(b.Bounds.MaxRetryAfter),
+		DialTimeout:    up(b.Bounds.DialTimeout),
+		Turn:           up(b.Quantum),
+		AskForList:     b.Discovery == "on_request",
+		AskWithin:      down(b.Rules.AskWithin),
+		FallMultiple:   b.Rules.FallMultiple,
+		Fall:           up(b.Rules.Fall),
+		ColdFrom:       b.Rules.ColdFrom,
+		Cold:           up(b.Rules.Cold),
+		KeyRest:        up(b.Rules.KeyRest),
+		RefusedPrice:   b.Extra.TurnedAwayPrice,
+		HandshakePrice: b.Deductions.Handshake,
+	}
+	var known bool
+	if s.Rating, known = ratings[b.Weights]; !known {
+		return s, fmt.Errorf("weights: unknown word %q", b.Weights)
+	}
+	if s.Slots < 0 || s.MaxOpen < 0 || s.MaxDispatches < 0 || b.Quantum < 0 {
+		return s, errors.New("a count or a time is below 0")
+	}
+	if s.MaxOpen == 0 {
+		s.MaxOpen = math.MaxInt
+	}
+	if s.MaxDispatches == 0 {
+		s.MaxDispatches = math.MaxInt
+	}
+	for i, c := range b.Classes {
+		repeat, known := repeats[c.Idempotency]
+		if !known {
+			return s, fmt.Errorf("classes[%d].idempotency: unknown word %q", i, c.Idempotency)
+		}
+		if c.Deadline <= 0 || c.Aim < 0 {
+			return s, fmt.Errorf("classes[%d]: aim %d, deadline %d", i, c.Aim, c.Deadline)
+		}
+		s.Workloads = append(s.Workloads, choice.Workload{
+			Repeat:       repeat,
+			ZoneGroup:    c.Group == "zone" || c.Group == "cell",
+			RepeatWindow: down(c.RepeatWindow),
+			ContractTime: down(c.Aim),
+			HardStop:     down(c.Deadline),
+			Gain:         c.Worth,
+			LateGain:     c.LateWorth,
+			ByArrival:    c.ByArrival,
+		})
+	}
+	if len(s.Workloads) == 0 {
+		return s, errors.New("classes: missing")
+	}
+	kinds := max(1, len(b.MachineTypes), len(b.Extra.BundleMax), len(b.Extra.SeparateRoutes))
+	for i := range kinds {
+		k := choice.Kind{BundleMax: 1}
+		if i < len(b.Extra.BundleMax) {
+			k.BundleMax = max(1, b.Extra.BundleMax[i])
+		}
+		k.Apart = i < len(b.Extra.SeparateRoutes) && b.Extra.SeparateRoutes[i]
+		s.Kinds = append(s.Kinds, k)
+	}
+	for _, a := range b.Accounts {
+		s.Quotas = append(s.Quotas, a.QuotaRps)
+	}
+	return s, nil
+}
