Aside and cold share one budget, probes only open a trial, patient time-outs

Now a wait is heeded from the last outcome that told it; an endpoint set aside needs a probe and then one trial call; probes, trials and the sends while it warms draw on one budget, which grows with the time since its first answer.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -20,14 +20,14 @@
 	laneShare     = 4                // one slot in so many drains a destination's refused notices
 	meanGain      = 0.125            // weight of a new measurement in mean and spread
 	pastGain      = 0.02             // weight of a new measurement in an endpoint's own past
-	patience      = 4.0              // spreads above the mean before a repeatable call is given up
+	patience      = 12.0             // spreads above the mean before a repeatable call is given up
 	finalPatience = 4.0              // times longer where a time-out is final
 	overdueAfter  = 4.0              // times its past before a call out counts as unanswered
 	firstLimit    = 2.0              // calls out that an unknown or returning endpoint may hold
 	failsToAside  = 2                // failures in a row
 	errsToAside   = 0.5              // or this share of late outcomes
-	refusedRun    = 4                // refusals in a row, with nothing done for quietFor, mean shut
-	quietFor      = 1500 * Millisecond
+	refusedRun    = 2                // refusals in a row, with nothing done for quietFor, mean shut
+	quietFor      = 2000 * Millisecond
 	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
 	firstTrial    = 300 * Millisecond  // first pause before an endpoint set aside is tried
 	lastTrial     = 2 * Second
@@ -41,10 +41,7 @@
 	crowdFrom     = 0.7  // share of MaxOpen from which notices are turned away by chance
 )
 
-const (
-	tickTimer   TimerID = 0
-	firstNotice TimerID = 1 // ids from here on stand for notices
-)
+const tickTimer TimerID = 0 // the others stand for notices
 
 // notice is one held notice; it leaves Sender.held once it is over and nothing of it is out.
 type notice struct {
@@ -89,16 +86,16 @@
 }
 
 type endpoint struct {
-	id                                               EndpointID
-	d                                                *destination
-	route                                            *route
-	zone                                             ZoneNo
-	calls, overdue, fails                            int
-	limit, mean, dev, past, errs                     float64
-	heardAt, goodAt, asideAt, step, tryAt, coldUntil Time
-	listed, aside, probing                           bool
-	cold                                             bucket
-	open                                             *call
+	id                                              EndpointID
+	d                                               *destination
+	route                                           *route
+	zone                                            ZoneNo
+	calls, overdue, fails                           int
+	limit, mean, dev, past, errs, seen              float64
+	heardAt, goodAt, asideAt, step, tryAt, coldFrom Time
+	listed, aside, passed, probing                  bool
+	cold                                            bucket
+	open                                            *call
 }
 
 // call is one slot: the notices sent to one endpoint in one turn, until all have their outcomes.
@@ -110,19 +107,19 @@
 }
 
 type Sender struct {
-	h                                                       Host
-	chance                                                  chance
-	workloads                                               []Workload
-	kinds                                                   []Kind
-	shares                                                  []bucket // by account
-	zone                                                    ZoneNo
-	slots, laneMax, maxOpen, maxTries                       int
-	senders, prior, topGain, overGain, ratingPart, coldRate float64
-	now, base, cap, turn, cold, keyRest, askAt              Time
-	longest                                                 Time // 0 where a shed reply names no time
-	askEvery                                                Time // 0 where the list comes by itself
-	probes, watching, halving                               bool
-	lastTimer                                               TimerID
+	h                                                                  Host
+	chance                                                             chance
+	workloads                                                          []Workload
+	kinds                                                              []Kind
+	shares                                                             []bucket // by account
+	zone                                                               ZoneNo
+	slots, laneMax, maxOpen, maxTries                                  int
+	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare float64
+	now, base, cap, turn, cold, keyRest, askAt                         Time
+	longest                                                            Time // 0 where a shed reply names no time
+	askEvery                                                           Time // 0 where the list comes by itself
+	probes, watching, halving                                          bool
+	lastTimer                                                          TimerID
 
 	held         map[NoticeID]*notice  // emptied as notices end
 	timers       map[TimerID]*notice   // emptied as each fires, at a notice's hard stop at the latest
@@ -142,8 +139,8 @@
 		laneMax: max(1, set.Slots/laneShare),
 		maxOpen: set.MaxOpen, maxTries: set.MaxDispatches, senders: float64(set.Senders),
 		zone: set.Zone, overGain: set.OverShareGain, probes: set.Probing, turn: max(1, set.Turn),
-		coldRate: set.FallMultiple * set.ColdFrom * coldPart, cold: set.Cold, keyRest: set.KeyRest,
-		lastTimer: firstNotice, held: map[NoticeID]*notice{}, timers: map[TimerID]*notice{},
+		fallRate: set.FallMultiple * coldPart, coldShare: set.ColdFrom, cold: set.Cold, keyRest: set.KeyRest,
+		held: map[NoticeID]*notice{}, timers: map[TimerID]*notice{},
 		lines: map[OrderKey]*keyLine{}, byID: map[DestinationID]*destination{},
 		endpoints: map[EndpointID]*endpoint{},
 	}
@@ -169,17 +166,13 @@
 	}
 	if set.AskForList {
 		s.askEvery = max(Second, set.AskWithin/4)
-		s.ask()
+		h.Watch(true)
+		s.askAt = s.now + s.askEvery
 	}
 	h.Timer(tick, tickTimer)
 	return s
 }
 
-func (s *Sender) ask() {
-	s.h.Watch(true)
-	s.askAt = s.now + s.askEvery
-}
-
 // ListNews tells entries of the list: all of them, or those that changed. A stale list is what this
 // sender knew before it started; it does not show that a watch stands.
 func (s *Sender) ListNews(entries []Entry, whole, stale bool) {
@@ -200,8 +193,11 @@
 		}
 		d.bundle = kind.BundleMax
 		e := s.endpoints[entry.Endpoint]
-		if e == nil || e.d != d {
-			e = &endpoint{id: entry.Endpoint, d: d, route: d.route, limit: firstLimit,
+		if e != nil && e.d != d {
+			e.listed, e = false, nil
+		}
+		if e == nil {
+			e = &endpoint{id: entry.Endpoint, d: d, route: d.route, limit: firstLimit, coldFrom: -s.cold,
 				mean: s.prior, dev: s.prior / 2, past: s.prior}
 			if kind.Apart {
 				e.route = &route{}
@@ -396,15 +392,12 @@
 
 // haltEnd is when the first endpoint of a destination may be sent to again.
 func (s *Sender) haltEnd(d *destination) Time {
-	end := Time(math.MaxInt64)
-	for _, e := range d.ranked {
-		if e.listed {
-			end = min(end, e.route.haltUntil)
+	end := d.route.haltUntil
+	for i, e := range d.ranked {
+		if i == 0 || e.route.haltUntil < end {
+			end = e.route.haltUntil
 		}
 	}
-	if end == math.MaxInt64 {
-		return d.route.haltUntil
-	}
 	return end
 }
 
@@ -420,6 +413,9 @@
 	if !c.judged && o.Result != Moot {
 		c.judged = true
 		s.learn(c, o)
+	} else if o.Wait > 0 {
+		// The notices of one call may be told at different times, and a wait counts from the last.
+		s.halt(c.e, o.Wait)
 	}
 	if o.Result == Done {
 		r := c.e.route
@@ -518,30 +514,25 @@
 }
 
 func (e *endpoint) measure(took float64) {
-	e.dev += meanGain * (math.Abs(took-e.mean) - e.dev)
-	e.mean += meanGain * (took - e.mean)
-	e.past += pastGain * (took - e.past)
-	e.past = min(e.past, e.mean)
+	e.seen++
+	e.dev += max(meanGain, 1/e.seen) * (max(math.Abs(took-e.mean), e.mean/2/e.seen) - e.dev)
+	e.mean += max(meanGain, 1/e.seen) * (took - e.mean)
+	e.past += max(pastGain, 1/e.seen) * (took - e.past)
 }
 
 func (s *Sender) refused(e *endpoint, wait Time) {
 	r := e.route
 	r.run++
 	if wait > 0 {
-		// Jittered, so that senders told alike do not return in step.
-		r.haltUntil = max(r.haltUntil, s.now+wait+s.chance.upTo(string(e.id), min(wait/8, tick*4)))
-		if wait > longWait {
-			for _, other := range e.d.ranked {
-				if other.route == r {
-					other.chill(r.haltUntil, s.cold)
-				}
+		s.halt(e, wait)
+	}
+	if e.aside || wait > longWait || r.run >= refusedRun && s.now-r.lastGood > quietFor {
+		for _, other := range e.d.ranked {
+			if other.route == r && (other == e || !other.aside) {
+				s.setAside(other)
 			}
-			return
 		}
 	}
-	if r.run >= refusedRun && s.now-r.lastGood > quietFor {
-		s.setAside(e)
-	}
 	if s.now-r.lastCut > Second {
 		r.lastCut = s.now
 		r.pace.rate = max(leastPace, r.limit/s.senders/2, paceCut*r.load.read(s.now, loadSpan))
@@ -556,14 +547,17 @@
 	}
 }
 
-// setAside stops sends to an endpoint whose calls fail, whatever the cause, until a probe, or a
-// trial where probes are forbidden, is answered. Harm: a healthy endpoint with two chance failures.
+// setAside stops sends to an endpoint whose calls fail, whatever the cause. It comes back by a probe,
+// which shows that the process runs, and then a trial call, which shows that calls are answered:
+// a shut destination answers probes. Harm: a healthy endpoint with two chance failures.
 func (s *Sender) setAside(e *endpoint) {
 	if e.aside {
 		e.step = min(lastTrial, 2*e.step)
 	} else {
 		e.aside, e.asideAt, e.step = true, s.now, firstTrial
+		e.cold.level, e.cold.at = 1, s.now
 	}
+	e.passed = !s.probes
 	e.tryAt = s.now + e.step/2 + s.chance.upTo(string(e.id), e.step/2)
 }
 
@@ -571,15 +565,16 @@
 func (s *Sender) comeBack(e *endpoint, sentAt Time) {
 	e.fails, e.errs = 0, 0
 	if e.aside && sentAt >= e.asideAt {
-		e.chill(s.now, s.cold)
+		e.limit, e.mean = firstLimit, e.past
+		e.coldFrom = s.now
 	}
 	e.aside = false
 }
 
-// chill bounds all sends to an endpoint while it may be cold: against pushing over what returns.
-func (e *endpoint) chill(from, cold Time) {
-	e.limit, e.mean = firstLimit, e.past
-	e.coldUntil, e.cold.level, e.cold.at = from+cold, 1, from
+func (s *Sender) halt(e *endpoint, wait Time) {
+	// Jittered, so that senders told alike do not return in step.
+	end := s.now + wait + s.chance.upTo(string(e.id), min(wait/8, tick*4))
+	e.route.haltUntil = max(e.route.haltUntil, end)
 }
 
 // known is what a route takes, as this sender's part in calls a second: by report, rating or own past.
@@ -587,15 +582,21 @@
 	return max(leastPace, r.limit/s.senders, r.rating, r.peak)
 }
 
+// coldReady bounds all that goes to an endpoint, probes too, while it is set aside or may be cold:
+// against pushing over what returns.
 func (s *Sender) coldReady(e *endpoint) bool {
-	if s.now >= e.coldUntil {
+	if !e.aside && s.now >= e.coldFrom+s.cold {
 		return true
 	}
 	ends := 1
 	if e.route == e.d.route {
 		ends = len(e.d.ranked)
 	}
-	e.cold.rate = s.coldRate * s.known(e.route) / float64(ends)
+	warm := s.coldShare
+	if !e.aside {
+		warm += (1 - warm) * float64(s.now-e.coldFrom) / float64(s.cold)
+	}
+	e.cold.rate = s.fallRate * warm * s.known(e.route) / float64(ends)
 	return e.cold.fill(s.now, 1) >= 1
 }
 
@@ -612,7 +613,7 @@
 	}
 	e.probing = false
 	if e.aside && result == Done {
-		s.comeBack(e, s.now)
+		e.passed = true
 	} else if e.aside {
 		s.setAside(e)
 	}
@@ -665,10 +666,12 @@
 	}
 	for _, d := range s.destinations {
 		d.ranked = slices.DeleteFunc(d.ranked, func(e *endpoint) bool {
-			if e.listed || e.calls > 0 || e.probing || s.now < max(e.coldUntil, e.route.haltUntil) {
+			if e.listed || e.calls > 0 || e.probing || s.now < max(e.coldFrom+s.cold, e.route.haltUntil) {
 				return false
 			}
-			delete(s.endpoints, e.id)
+			if s.endpoints[e.id] == e {
+				delete(s.endpoints, e.id)
+			}
 			return true
 		})
 		for _, e := range d.ranked {
@@ -679,25 +682,24 @@
 			return cmp.Compare(a.mean*(1+a.errs), b.mean*(1+b.errs))
 		})
 		for _, e := range d.ranked {
-			if s.probes && e.aside && e.listed && !e.probing && s.now >= max(e.tryAt, e.route.haltUntil) {
+			if e.aside && !e.passed && e.listed && !e.probing && s.now >= max(e.tryAt, e.route.haltUntil) &&
+				s.coldReady(e) {
 				e.probing = true
+				e.cold.level--
 				s.h.Probe(e.id)
 			}
 		}
 	}
 	if s.askEvery > 0 && !s.watching && s.now >= s.askAt {
-		s.ask()
+		s.h.Watch(true)
+		s.askAt = s.now + s.askEvery
 	}
 }
 
 // TurnEnd fills free slots, now that all that came in this turn is known.
 func (s *Sender) TurnEnd() {
 	s.now = s.h.Now()
-	for {
-		n, e := s.next()
-		if n == nil {
-			break
-		}
+	for n, e := s.next(); n != nil; n, e = s.next() {
 		s.dispatch(n, e)
 	}
 	for _, e := range s.opened {
@@ -744,10 +746,7 @@
 func (s *Sender) place(n *notice, rideOnly bool) *endpoint {
 	var trial *endpoint
 	for _, e := range n.d.ranked {
-		if !e.listed || s.now < e.route.haltUntil {
-			continue
-		}
-		if n.mayRun && n.w.ZoneGroup && e.zone != n.group {
+		if !e.listed || s.now < e.route.haltUntil || n.mayRun && n.w.ZoneGroup && e.zone != n.group {
 			continue
 		}
 		if e.open != nil && e.open.n < n.d.bundle {
@@ -757,12 +756,12 @@
 			continue
 		}
 		if e.aside {
-			// Where probes are forbidden a single dispatch tries it, one that may be repeated if any comes.
+			// A single dispatch tries it, one that may be repeated if any comes.
 			wait := e.tryAt
 			if n.w.Repeat == SingleUse {
 				wait += lastTrial / 2
 			}
-			if !s.probes && e.calls == 0 && s.now >= wait && trial == nil {
+			if e.passed && e.calls == e.overdue && s.now >= wait && trial == nil && s.coldReady(e) {
 				trial = e
 			}
 			continue
