--- a/choice/choice.go
+++ b/choice/choice.go
@@ -20,14 +20,14 @@
 	laneShare     = 4                // one slot in so many drains a destination's refused notices
 	meanGain      = 0.125            // weight of a new measurement in mean and spread
 	pastGain      = 0.02             // weight of a new measurement in an endpoint's own past
-	patience      = 12.0             // spreads above the mean before a repeatable call is given up
+	patience      = 10.0             // spreads above the mean before a repeatable call is given up
 	finalPatience = 4.0              // times longer where a time-out is final
 	overdueAfter  = 4.0              // times its past before a call out counts as unanswered
 	firstLimit    = 2.0              // calls out that an unknown or returning endpoint may hold
 	failsToAside  = 2                // failures in a row
-	errsToAside   = 0.5              // or this share of late outcomes
 	refusedRun    = 2                // refusals in a row, with nothing done for quietFor, mean shut
 	quietFor      = 2000 * Millisecond
+	usedUp        = 0.3                // share of an allowance left up to which it explains a refusal
 	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
 	firstTrial    = 300 * Millisecond  // first pause before an endpoint set aside is tried
 	lastTrial     = 2 * Second
@@ -91,7 +91,7 @@
 	route                                           *route
 	zone                                            ZoneNo
 	calls, overdue, fails                           int
-	limit, mean, dev, past, errs, seen              float64
+	limit, mean, dev, past, seen                    float64
 	heardAt, goodAt, asideAt, step, tryAt, coldFrom Time
 	listed, aside, passed, probing                  bool
 	cold                                            bucket
@@ -187,10 +187,7 @@
 	}
 	for _, entry := range entries {
 		d := s.destination(entry.Destination)
-		kind := Kind{BundleMax: 1}
-		if entry.Kind >= 0 && int(entry.Kind) < len(s.kinds) {
-			kind = s.kinds[entry.Kind]
-		}
+		kind := s.kinds[max(0, min(int(entry.Kind), len(s.kinds)-1))]
 		d.bundle = kind.BundleMax
 		e := s.endpoints[entry.Endpoint]
 		if e != nil && e.d != d {
@@ -261,10 +258,27 @@
 }
 
 // turnsAway keeps room below MaxOpen, against being closed to all when one destination's backlog
-// fills it. It turns away by chance, the cheaper more often.
+// fills it: by chance one notice goes, the one of least worth that waits longest for the longest
+// backlog, or the new one, the cheaper more often. It tells whether the new one goes.
 func (s *Sender) turnsAway(n *notice) bool {
 	p := (float64(len(s.held))/float64(s.maxOpen) - crowdFrom) / (1 - crowdFrom)
-	return p > 0 && s.chance.share(string(n.ID)) < p*(2-n.gain/s.topGain)
+	if p <= 0 || s.chance.share(string(n.ID)) >= p*(2-n.gain/s.topGain) {
+		return false
+	}
+	victim := n
+	longest := slices.MaxFunc(s.destinations, func(a, b *destination) int { return a.waiting - b.waiting })
+	for _, l := range append([]*list.List{longest.due, longest.lane}, longest.fresh...) {
+		if l.Len() > 0 {
+			if v := l.Front().Value.(*notice); s.worth(v) < s.worth(victim) {
+				victim = v
+			}
+		}
+	}
+	if victim == n {
+		return true
+	}
+	s.finish(victim)
+	return false
 }
 
 // queue puts a notice where it waits for a slot, if its key lets it.
@@ -317,15 +331,7 @@
 
 // worth is the gain that a notice still earns if it is sent now.
 func (s *Sender) worth(n *notice) float64 {
-	late := s.now + Time(s.usual(n.d)) - n.born - n.w.ContractTime
-	if late <= 0 {
-		return n.gain
-	}
-	if s.halving {
-		return n.gain * max(n.w.LateGain, math.Exp2(-float64(late)/float64(max(1, n.w.ContractTime))))
-	}
-	over := float64(late) / float64(max(1, n.w.HardStop-n.w.ContractTime))
-	return n.gain * max(0, 1-(1-n.w.LateGain)*over)
+	return n.gain * n.w.Fade(s.now+Time(s.usual(n.d))-n.born, s.halving)
 }
 
 func (s *Sender) usual(d *destination) float64 {
@@ -383,6 +389,9 @@
 
 // advance gives a key's turn to its next notice, unless that has it already or the key rests.
 func (s *Sender) advance(line *keyLine) {
+	if line == nil || s.lines[line.key] != line || s.now < line.restUntil {
+		return
+	}
 	if len(line.notices) == 0 {
 		delete(s.lines, line.key)
 	} else if n := line.notices[0]; n.tries == 0 && n.elem == nil {
@@ -467,9 +476,7 @@
 	if c.lane {
 		c.e.d.laneOut--
 	}
-	if i := slices.Index(s.calls, c); i >= 0 {
-		s.calls = slices.Delete(s.calls, i, i+1)
-	}
+	s.calls = slices.DeleteFunc(s.calls, func(other *call) bool { return other == c })
 }
 
 // learn takes from one call's fate what it says of its endpoint, once for all notices in it.
@@ -486,25 +493,17 @@
 		e.measure(float64(o.Took))
 		e.goodAt, r.lastGood = s.now, s.now
 		e.fails, r.run = 0, 0
-		e.errs *= 1 - meanGain
 		if e.aside {
 			s.comeBack(e, c.sentAt)
 		} else if e.mean < 2*e.past {
 			e.limit = min(float64(s.slots), e.limit+1/e.limit)
 		}
 	case Full:
-		s.refused(e, o.Wait)
+		s.refused(c, o)
 	case Errored, Reset:
 		s.failed(e)
-	case ConnectFailed:
-		// A full table of connections refuses new ones while calls on the old ones are answered.
-		if e.goodAt > c.sentAt {
-			e.limit = max(1, min(e.limit, float64(e.calls))-1)
-		} else {
-			s.failed(e)
-		}
-	case TimedOut:
-		e.measure(float64(o.Took))
+	case ConnectFailed, TimedOut:
+		// A full table of connections, or a lost call, while others are answered: less at once is enough.
 		if e.goodAt > c.sentAt {
 			e.limit = max(1, e.limit/2)
 		} else {
@@ -520,29 +519,31 @@
 	e.past += max(pastGain, 1/e.seen) * (took - e.past)
 }
 
-func (s *Sender) refused(e *endpoint, wait Time) {
-	r := e.route
+// refused tells a limit from a shut destination: where the report shows the allowance used up, fewer
+// calls are the answer, with more notices in each. Else a run of refusals with nothing done is an outage.
+func (s *Sender) refused(c *call, o Outcome) {
+	e, r := c.e, c.e.route
 	r.run++
-	if wait > 0 {
-		s.halt(e, wait)
+	if o.Wait > 0 {
+		s.halt(e, o.Wait)
 	}
-	if e.aside || wait > longWait || r.run >= refusedRun && s.now-r.lastGood > quietFor {
-		for _, other := range e.d.ranked {
-			if other.route == r && (other == e || !other.aside) {
-				s.setAside(other)
-			}
-		}
+	if o.Report.Limit > 0 && (o.Report.Left-usedUp)*o.Report.Limit < 1 && o.Wait <= longWait {
+		s.comeBack(e, c.sentAt)
+	} else if e.aside || o.Wait > longWait || r.run >= refusedRun && s.now-r.lastGood > quietFor {
+		s.setAside(e)
 	}
 	if s.now-r.lastCut > Second {
 		r.lastCut = s.now
-		r.pace.rate = max(leastPace, r.limit/s.senders/2, paceCut*r.load.read(s.now, loadSpan))
+		r.pace.rate = max(leastPace, paceCut*r.load.read(s.now, loadSpan))
+		if r.limit > 0 {
+			r.pace.rate = max(r.limit/s.senders, min(r.pace.rate, r.limit))
+		}
 	}
 }
 
 func (s *Sender) failed(e *endpoint) {
 	e.fails++
-	e.errs += meanGain * (1 - e.errs)
-	if e.aside || e.fails >= failsToAside || e.errs > errsToAside {
+	if e.aside || e.fails >= failsToAside {
 		s.setAside(e)
 	}
 }
@@ -563,7 +564,7 @@
 
 // comeBack ends being set aside. An answer to a call from before shows that it was slow, not out.
 func (s *Sender) comeBack(e *endpoint, sentAt Time) {
-	e.fails, e.errs = 0, 0
+	e.fails = 0
 	if e.aside && sentAt >= e.asideAt {
 		e.limit, e.mean = firstLimit, e.past
 		e.coldFrom = s.now
@@ -636,9 +637,7 @@
 		return
 	}
 	if n.over {
-		if n.line != nil && s.now >= n.line.restUntil && s.lines[n.Key] == n.line {
-			s.advance(n.line)
-		}
+		s.advance(n.line)
 		return
 	}
 	if s.now > s.lastSend(n) {
@@ -678,9 +677,7 @@
 			// Room is tried again little by little, shared by the endpoints of a route.
 			e.route.pace.rate *= 1 + paceGrow*seconds(tick)/float64(len(d.ranked))
 		}
-		slices.SortStableFunc(d.ranked, func(a, b *endpoint) int {
-			return cmp.Compare(a.mean*(1+a.errs), b.mean*(1+b.errs))
-		})
+		slices.SortStableFunc(d.ranked, func(a, b *endpoint) int { return cmp.Compare(a.mean, b.mean) })
 		for _, e := range d.ranked {
 			if e.aside && !e.passed && e.listed && !e.probing && s.now >= max(e.tryAt, e.route.haltUntil) &&
 				s.coldReady(e) {
@@ -804,6 +801,8 @@
 	usual := max(2*s.prior, e.mean+patience*e.dev)
 	if n.w.Repeat == SingleUse {
 		usual *= finalPatience
+	} else {
+		usual *= float64(n.tries)
 	}
 	if t := Time(math.Ceil(usual)); s.now+2*t < n.HardStop {
 		return t
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -62,3 +62,15 @@
 func (m *meter) count(now, span Time) {
 	m.rate, m.at = m.read(now, span)+1/seconds(span), now
 }
+
+// Fade is the share of a workload's gain left when an answer comes so long after the notice was handed in.
+func (w *Workload) Fade(after Time, halving bool) float64 {
+	late := float64(after - w.ContractTime)
+	if late <= 0 {
+		return 1
+	}
+	if halving {
+		return max(w.LateGain, math.Exp2(-late/float64(max(1, w.ContractTime))))
+	}
+	return max(0, 1-(1-w.LateGain)*late/float64(max(1, w.HardStop-w.ContractTime)))
+}
