--- a/choice/choice.go
+++ b/choice/choice.go
@@ -269,7 +269,7 @@
 	longest := slices.MaxFunc(s.destinations, func(a, b *destination) int { return a.waiting - b.waiting })
 	for _, l := range append([]*list.List{longest.due, longest.lane}, longest.fresh...) {
 		if l.Len() > 0 {
-			if v := l.Front().Value.(*notice); s.worth(v) < s.worth(victim) {
+			if v := l.Front().Value.(*notice); victim == n && longest != n.d || s.worth(v) < s.worth(victim) {
 				victim = v
 			}
 		}
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,257 @@
+package choice
+
+import "fmt"
+
+// The one slot goes to the fresh tier, newest first, before the retry that was due earlier.
+func ExampleSender_tiers() {
+	set := plain()
+	set.Slots = 1
+	d := open(set).take(0, 1, "old").ended(Errored, 0, "a", "old").take(2, 2, "holds")
+	d.run(300*Millisecond).take(0, 1, "x", "y").ended(Done, 0, "c", "holds").ended(Done, 0, "a", "y")
+	d.ended(Done, 0, "a", "x")
+	// Output:
+	// 0.0     dispatch old to a
+	// 0.0     dispatch holds to c
+	// 300.0   dispatch y to a
+	// 300.0   dispatch x to a
+	// 300.0   dispatch old to a
+}
+
+// Retry waits differ by chance, under ceilings that double up to the cap; the first is a quarter second.
+func ExampleSender_jitter() {
+	d := open(plain())
+	d.mute = true
+	for try := 1; try <= 4; try++ {
+		longest, shortest := Time(0), Time(1<<60)
+		for i := range 40 {
+			n := &notice{Notice: Notice{ID: NoticeID(fmt.Sprint(i))}, tries: try,
+				w: &d.s.workloads[0], d: d.s.byID[1]}
+			n.HardStop = 60 * Second
+			d.s.again(n)
+			longest, shortest = max(longest, n.dueAt), min(shortest, n.dueAt)
+		}
+		fmt.Println("try", try, "from", shortest, "to", longest)
+	}
+	// Output:
+	// try 1 from 4 to 2490
+	// try 2 from 121 to 4615
+	// try 3 from 129 to 9625
+	// try 4 from 16 to 19705
+}
+
+// What was refused drains through a quarter of the slots: two here, the third when one is free.
+func ExampleSender_lane() {
+	d := open(plain())
+	d.s.endpoints["a"].limit = 8
+	d.take(0, 1, "p", "q", "r").ended(Full, 0, "a", "p", "q", "r")
+	d.run(2*Second).ended(Done, 0, "a", "p").run(2 * Second)
+	// Output:
+	// 0.0     dispatch r to a
+	// 0.0     dispatch q to a
+	// 0.0     dispatch p to a
+	// 51.6    dispatch r to a
+	// 86.4    dispatch p to a
+	// 1400.0  probe a
+	// 2000.0  dispatch q to a
+}
+
+// A told wait stops first sends too; another destination goes on.
+func ExampleSender_wait() {
+	d := open(plain()).take(0, 1, "p").ended(Full, 900*Millisecond, "a", "p")
+	d.take(0, 1, "q").take(0, 2, "other").run(1200 * Millisecond)
+	// Output:
+	// 0.0     dispatch p to a
+	// 0.0     dispatch other to c
+	// 1050.0  dispatch q to a
+	// 1050.0  dispatch p to a
+}
+
+// The notices of one call may be told waits at different times; the last one counts.
+func ExampleSender_waitOfBundle() {
+	d := open(plain()).take(0, 2, "p", "q").ended(Full, 500*Millisecond, "c", "p")
+	d.run(100*Millisecond).ended(Full, 500*Millisecond, "c", "q").take(0, 2, "r").run(700 * Millisecond)
+	// Output:
+	// 0.0     dispatch q to c
+	// 0.0     dispatch p to c
+	// 650.0   dispatch r to c
+	// 650.0   dispatch p to c
+	// 650.0   dispatch q to c
+}
+
+// Sends of one turn to one endpoint share a call: five notices of a kind that bundles three.
+func ExampleSender_bundle() {
+	d := open(plain()).take(2, 2, "p", "q", "r", "s", "t")
+	fmt.Println(len(d.s.calls), "slots")
+	d.ended(Done, 0, "c", "p", "q")
+	fmt.Println(len(d.s.calls), "slots")
+	d.ended(Done, 0, "c", "r")
+	fmt.Println(len(d.s.calls), "slot")
+	// Output:
+	// 0.0     dispatch t to c
+	// 0.0     dispatch s to c
+	// 0.0     dispatch r to c
+	// 0.0     dispatch q to c
+	// 0.0     dispatch p to c
+	// 2 slots
+	// 1 slots
+	// 1 slot
+}
+
+// Single-use: a time-out is final, a refusal is not. Tokened: again only inside the repeat window.
+func ExampleSender_repeatability() {
+	d := open(plain()).take(2, 1, "once").ended(Full, 0, "a", "once").run(Second)
+	d.ended(TimedOut, 0, "a", "once").take(1, 2, "token").ended(TimedOut, 0, "c", "token").run(Second)
+	d.run(2500*Millisecond).ended(TimedOut, 0, "c", "token")
+	// Output:
+	// 0.0     dispatch once to a
+	// 73.8    dispatch once to a
+	// 1000.0  give up once
+	// 1000.0  dispatch token to c
+	// 1157.9  dispatch token to c
+	// 4500.0  give up token
+}
+
+// A notice that no dispatch can serve in time is answered at once: shed, as none ever ran.
+func ExampleSender_hardStop() {
+	open(plain()).take(0, 9, "nowhere").run(7 * Second)
+	// Output:
+	// 5740.1  shed nowhere
+}
+
+// Nothing new goes to a draining endpoint from the turn it is told; what is held goes elsewhere.
+func ExampleSender_drain() {
+	d := open(plain()).take(0, 1, "p").ended(Errored, 0, "a", "p")
+	d.s.ListNews([]Entry{{Endpoint: "a", Destination: 1, Stage: Draining}, {Endpoint: "b", Destination: 1}}, false, false)
+	d.run(Second)
+	// Output:
+	// 0.0     dispatch p to a
+	// 86.4    dispatch p to b
+}
+
+// Two failures set an endpoint aside. A probe shows that the process runs, one trial call that calls are
+// answered: a shut destination answers probes. Then a budget that grows bounds all sends while it warms.
+func ExampleSender_return() {
+	d := open(plain()).take(0, 1, "p", "q").ended(Errored, 0, "a", "p", "q").run(900 * Millisecond)
+	d.s.Probed("a", Done)
+	d.run(3*Second).take(0, 1, "r", "s", "t", "u").ended(Full, 0, "a", "p", "q").run(5 * Second)
+	d.s.Probed("a", Done)
+	d.run(4 * Second)
+	// Output:
+	// 0.0     dispatch q to a
+	// 0.0     dispatch p to a
+	// 250.0   probe a
+	// 950.0   dispatch p to a
+	// 2000.0  dispatch q to a
+	// 3900.0  dispatch u to a
+	// 5050.0  probe a
+	// 5740.1  give up p
+	// 5740.1  give up q
+	// 8950.0  dispatch t to a
+	// 9640.1  shed r
+	// 9640.1  shed s
+}
+
+// Calls gone unanswered shrink what an endpoint may hold, then set it aside; others go on.
+func ExampleSender_silence() {
+	d := open(plain()).take(2, 1, "p", "q", "r").take(2, 2, "other").ended(Done, 0, "c", "other")
+	d.run(1500*Millisecond).take(2, 2, "more")
+	fmt.Println("aside:", d.s.endpoints["a"].aside, "calls out:", d.s.endpoints["a"].calls)
+	// Output:
+	// 0.0     dispatch r to a
+	// 0.0     dispatch q to a
+	// 0.0     dispatch other to c
+	// 1350.0  probe a
+	// 1500.0  dispatch more to c
+	// aside: true calls out: 2
+}
+
+// Where probes are forbidden one dispatch tries the endpoint, a repeatable notice before a single-use one.
+func ExampleSender_trial() {
+	set := plain()
+	set.Probing = false
+	d := open(set).take(2, 1, "p", "q").ended(Errored, 0, "a", "p", "q").take(2, 1, "once").run(300 * Millisecond)
+	d.take(0, 1, "again").run(3 * Second)
+	// Output:
+	// 0.0     dispatch q to a
+	// 0.0     dispatch p to a
+	// 0.0     give up p
+	// 0.0     give up q
+	// 300.0   dispatch again to a
+	// 1350.0  dispatch once to a
+}
+
+// A refusal with the allowance used up is a limit: the endpoint stays in use, at a slower pace.
+func ExampleSender_limit() {
+	d := open(plain()).take(0, 1, "p", "q").run(3 * Second)
+	for _, id := range []NoticeID{"p", "q"} {
+		d.s.Ended(Outcome{Notice: id, Endpoint: "a", Result: Full, Report: Report{true, 0.1, 4}})
+	}
+	fmt.Println("aside:", d.s.endpoints["a"].aside, "pace:", d.s.endpoints["a"].route.pace.rate)
+	d.run(Second)
+	// Output:
+	// 0.0     dispatch q to a
+	// 0.0     dispatch p to a
+	// 1350.0  probe a
+	// aside: false pace: 2
+	// 3012.9  dispatch q to a
+	// 3550.0  dispatch p to a
+}
+
+// A crowded sender sheds from the longest backlog, so a healthy destination keeps its service.
+func ExampleSender_crowded() {
+	set := plain()
+	set.MaxOpen = 6
+	d := open(set).take(0, 9, "p", "q", "r", "s", "t").take(0, 2, "healthy", "too")
+	fmt.Println(len(d.s.held), "held")
+	// Output:
+	// 0.0     shed t
+	// 0.0     shed p
+	// 0.0     dispatch too to c
+	// 0.0     dispatch healthy to c
+	// 5 held
+}
+
+// Notices of one key take turns in the order taken, and the key rests after a time-out.
+func ExampleSender_order() {
+	d := open(plain()).take(3, 2, "first", "second", "third").ended(Done, 0, "c", "first")
+	d.run(100*Millisecond).ended(TimedOut, 0, "c", "second").run(400*Millisecond).ended(Done, 0, "c", "second")
+	d.run(2*Second).ended(Done, 0, "c", "third")
+	fmt.Println(len(d.s.lines), "keys")
+	// Output:
+	// 0.0     dispatch first to c
+	// 0.0     dispatch second to c
+	// 222.1   dispatch second to c
+	// 1100.0  dispatch third to c
+	// 0 keys
+}
+
+// A restarted sender knows a stale list and asks again with jitter until a watch stands.
+func ExampleSender_restart() {
+	set := plain()
+	set.AskForList, set.AskWithin = true, 8*Second
+	d := open(set).take(0, 1, "p")
+	d.s.ListFailed()
+	d.run(4 * Second)
+	d.s.ListNews(nil, false, false)
+	d.run(4 * Second)
+	// Output:
+	// 0.0     watch true
+	// 0.0     dispatch p to a
+	// 1100.0  watch true
+	// 3100.0  watch true
+}
+
+// Odd but legal: outcomes, probes, withdrawals and timers for what is unknown or over change nothing.
+func ExampleSender_odd() {
+	d := open(plain()).take(0, 1, "p")
+	d.s.Withdrawn("p")
+	d.s.Withdrawn("p")
+	d.ended(TimedOut, 0, "a", "p").ended(TimedOut, 0, "a", "p", "unknown")
+	d.s.Probed("unknown", Done)
+	d.s.TimerDue(999)
+	d.run(7 * Second)
+	fmt.Println(len(d.s.held), "held", len(d.s.timers), "timers", len(d.s.calls), "calls")
+	// Output:
+	// 0.0     dispatch p to a
+	// 0 held 0 timers 0 calls
+}
--- /dev/null
+++ b/choice/desk_test.go
@@ -0,0 +1,100 @@
+package choice
+
+import (
+	"fmt"
+	"sort"
+)
+
+// desk is a host that prints what the module asks for, with the clock in milliseconds.
+type desk struct {
+	s      *Sender
+	clock  Time
+	timers []deskTimer // emptied as they fire
+	mute   bool
+	tries  map[NoticeID]int
+}
+
+type deskTimer struct {
+	at Time
+	id TimerID
+}
+
+// plain settings: workload 0 is replayable, 1 tokened, 2 single-use, 3 replayable in order.
+func plain() Settings {
+	w := func(r Repeat, order bool) Workload {
+		return Workload{Repeat: r, RepeatWindow: 3 * Second, ContractTime: Second, HardStop: 6 * Second,
+			Gain: 1 + float64(r), LateGain: 0.1, ByArrival: order}
+	}
+	return Settings{Senders: 2, Slots: 8, MaxOpen: 100, MaxDispatches: 6,
+		Workloads: []Workload{w(Replayable, false), w(Tokened, false), w(SingleUse, false), w(Replayable, true)},
+		Kinds:     []Kind{{BundleMax: 1}, {BundleMax: 3}}, Turn: 5 * Millisecond, Probing: true, Rating: RatingExact,
+		FallMultiple: 2, Fall: 2 * Second, ColdFrom: 0.2, Cold: 10 * Second, KeyRest: Second}
+}
+
+// open starts a sender whose list holds a and b at destination 1 and c at destination 2.
+func open(set Settings) *desk {
+	d := &desk{tries: map[NoticeID]int{}}
+	d.s = Start(d, "s", 7, set)
+	d.s.ListNews([]Entry{{Endpoint: "a", Destination: 1, Rating: 10}, {Endpoint: "b", Destination: 1, Stage: Gone, Rating: 10},
+		{Endpoint: "c", Destination: 2, Kind: 1, Rating: 10}}, true, false)
+	d.s.TurnEnd()
+	return d
+}
+
+func (d *desk) take(workload WorkloadNo, to DestinationID, ids ...NoticeID) *desk {
+	for _, id := range ids {
+		d.s.Taken(Notice{ID: id, Workload: workload, Key: 5, Destination: to,
+			HardStop: d.clock + d.s.workloads[workload].HardStop})
+	}
+	d.s.TurnEnd()
+	return d
+}
+
+// ended tells an outcome of each notice's latest dispatch, told 200 ms after its send.
+func (d *desk) ended(result Result, wait Time, at EndpointID, ids ...NoticeID) *desk {
+	for _, id := range ids {
+		d.s.Ended(Outcome{Notice: id, Dispatch: d.tries[id] - 1, Endpoint: at, Took: 200 * Millisecond,
+			Result: result, Final: result == Done, Wait: wait})
+	}
+	d.s.TurnEnd()
+	return d
+}
+
+// run lets the clock go on for a span, firing timers in order.
+func (d *desk) run(span Time) *desk {
+	end := d.clock + span
+	for {
+		sort.SliceStable(d.timers, func(i, j int) bool { return d.timers[i].at < d.timers[j].at })
+		if d.timers[0].at > end {
+			d.clock = end
+			return d
+		}
+		next := d.timers[0]
+		d.timers = d.timers[1:]
+		d.clock = max(d.clock, next.at)
+		d.s.TimerDue(next.id)
+		d.s.TurnEnd()
+	}
+}
+
+func (d *desk) print(format string, args ...any) {
+	if !d.mute {
+		fmt.Printf("%-7.1f "+format+"\n", append([]any{float64(d.clock) / float64(Millisecond)}, args...)...)
+	}
+}
+
+func (d *desk) Now() Time { return d.clock }
+func (d *desk) Dispatch(n NoticeID, to EndpointID, timeOut Time) {
+	d.tries[n]++
+	d.print("dispatch %s to %s", n, to)
+}
+func (d *desk) Shed(n NoticeID, in Time)    { d.print("shed %s", n) }
+func (d *desk) GiveUp(n NoticeID)           { d.print("give up %s", n) }
+func (d *desk) Cancel(n NoticeID, no int)   { d.print("cancel %s", n) }
+func (d *desk) Probe(e EndpointID)          { d.print("probe %s", e) }
+func (d *desk) Note(to PeerNo, body []byte) { d.print("note %q", body) }
+func (d *desk) Watch(on bool)               { d.print("watch %v", on) }
+func (d *desk) Fetch()                      { d.print("fetch") }
+func (d *desk) CloseIdle(e EndpointID)      { d.print("close %s", e) }
+func (d *desk) Log(text string)             { d.print("log %s", text) }
+func (d *desk) Timer(in Time, id TimerID)   { d.timers = append(d.timers, deskTimer{d.clock + in, id}) }
