--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,7 +38,7 @@
 	goodSpan      = 4 * Second
 	paceGrow      = 0.05 // a second
 	leastPace     = 0.3  // calls a second
-	crowdFrom     = 0.7  // share of MaxOpen from which notices are turned away by chance
+	crowdFrom     = 0.85  // share of MaxOpen from which notices are turned away by chance
 )
 
 const tickTimer TimerID = 0 // the others stand for notices
