A long told wait makes the whole route cold; probes weigh less, the cold budget is used whole

Now the end of a wait above 2.5 s starts the cold budget on every endpoint of the route. Guards also against restarts behind a told wait; harms a limit that tells such long waits, by a slow start.

A probe is less work than a call: three tenths.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,14 +31,15 @@
 	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
 	firstTrial    = 300 * Millisecond  // first pause before an endpoint set aside is tried
 	lastTrial     = 2 * Second
-	coldPart      = 0.8        // of the budget of a returning destination that this sender uses
+	coldPart      = 1.0        // of the budget of a returning destination that this sender uses
+	probeWeight   = 0.3        // what a probe weighs on a cold destination
 	rideWeight    = 0.15       // what a further notice in a call weighs on a cold destination
 	paceCut       = 0.7        // of the rate that met a refusal
 	loadSpan      = 2 * Second // over which sends, and below dones, are averaged
 	goodSpan      = 4 * Second
 	paceGrow      = 0.05 // a second
 	leastPace     = 0.3  // calls a second
-	crowdFrom     = 0.85  // share of MaxOpen from which notices are turned away by chance
+	crowdFrom     = 0.85 // share of MaxOpen from which notices are turned away by chance
 )
 
 const tickTimer TimerID = 0 // the others stand for notices
@@ -86,16 +87,16 @@
 }
 
 type endpoint struct {
-	id                                              EndpointID
-	d                                               *destination
-	route                                           *route
-	zone                                            ZoneNo
-	calls, overdue, fails                           int
-	limit, mean, dev, past, seen                    float64
-	heardAt, goodAt, asideAt, step, tryAt, coldFrom Time
-	listed, aside, passed, probing                  bool
-	cold                                            bucket
-	open                                            *call
+	id                                     EndpointID
+	d                                      *destination
+	route                                  *route
+	zone                                   ZoneNo
+	calls, overdue, fails                  int
+	limit, mean, dev, past, seen           float64
+	goodAt, asideAt, step, tryAt, coldFrom Time
+	listed, aside, passed, probing         bool
+	cold                                   bucket
+	open                                   *call
 }
 
 // call is one slot: the notices sent to one endpoint in one turn, until all have their outcomes.
@@ -138,15 +139,12 @@
 		kinds: set.Kinds, workloads: set.Workloads, halving: set.Halving, slots: set.Slots,
 		laneMax: max(1, set.Slots/laneShare),
 		maxOpen: set.MaxOpen, maxTries: set.MaxDispatches, senders: float64(set.Senders),
-		zone: set.Zone, overGain: set.OverShareGain, probes: set.Probing, turn: max(1, set.Turn),
+		zone: set.Zone, longest: set.LongestReturn, overGain: set.OverShareGain, probes: set.Probing, turn: max(1, set.Turn),
 		fallRate: set.FallMultiple * coldPart, coldShare: set.ColdFrom, cold: set.Cold, keyRest: set.KeyRest,
 		held: map[NoticeID]*notice{}, timers: map[TimerID]*notice{},
 		lines: map[OrderKey]*keyLine{}, byID: map[DestinationID]*destination{},
 		endpoints: map[EndpointID]*endpoint{},
 	}
-	if set.NamesReturn {
-		s.longest = set.LongestReturn
-	}
 	switch set.Rating {
 	case RatingExact:
 		s.ratingPart = 1 / s.senders
@@ -444,13 +442,12 @@
 			n.line.restUntil = s.now + s.keyRest
 		}
 	}
-	n.over = n.over || o.Final
-	if n.over {
+	n.refused = o.Result == Full
+	if n.over = n.over || o.Final; n.over {
 		s.release(n)
-		return
+	} else {
+		s.again(n)
 	}
-	n.refused = o.Result == Full
-	s.again(n)
 }
 
 // again keeps the ordinary path of a retry: capped doubling ceilings, full jitter.
@@ -485,9 +482,6 @@
 	if o.Report.Known {
 		r.limit = o.Report.Limit
 	}
-	if o.Result != TimedOut && o.Result != ConnectFailed && o.Result != Cancelled {
-		e.heardAt = s.now
-	}
 	switch o.Result {
 	case Done:
 		e.measure(float64(o.Took))
@@ -529,7 +523,7 @@
 	}
 	if o.Report.Limit > 0 && (o.Report.Left-usedUp)*o.Report.Limit < 1 && o.Wait <= longWait {
 		s.comeBack(e, c.sentAt)
-	} else if e.aside || o.Wait > longWait || r.run >= refusedRun && s.now-r.lastGood > quietFor {
+	} else if e.aside || r.run >= refusedRun && s.now-r.lastGood > quietFor {
 		s.setAside(e)
 	}
 	if s.now-r.lastCut > Second {
@@ -566,16 +560,26 @@
 func (s *Sender) comeBack(e *endpoint, sentAt Time) {
 	e.fails = 0
 	if e.aside && sentAt >= e.asideAt {
-		e.limit, e.mean = firstLimit, e.past
-		e.coldFrom = s.now
+		e.chill(s.now)
 	}
 	e.aside = false
 }
 
+// halt heeds a told wait, jittered so that senders told alike do not return in step. A long one is that
+// of a shut destination: all its endpoints are cold when it opens, whatever they answered before.
 func (s *Sender) halt(e *endpoint, wait Time) {
-	// Jittered, so that senders told alike do not return in step.
 	end := s.now + wait + s.chance.upTo(string(e.id), min(wait/8, tick*4))
 	e.route.haltUntil = max(e.route.haltUntil, end)
+	for _, other := range e.d.ranked {
+		if wait > longWait && other.route == e.route {
+			other.chill(end)
+		}
+	}
+}
+
+func (e *endpoint) chill(from Time) {
+	e.limit, e.mean = firstLimit, e.past
+	e.coldFrom, e.cold.level, e.cold.at = from, 1, from
 }
 
 // known is what a route takes, as this sender's part in calls a second: by report, rating or own past.
@@ -633,22 +637,19 @@
 	}
 	n := s.timers[id]
 	delete(s.timers, id)
-	if n == nil || n.out != nil {
-		return
-	}
-	if n.over {
+	switch {
+	case n == nil || n.out != nil:
+	case n.over:
 		s.advance(n.line)
-		return
-	}
-	if s.now > s.lastSend(n) {
+	case s.now > s.lastSend(n):
 		s.finish(n)
-		return
-	}
-	if n.elem == nil && (n.tries == 0 || s.now >= n.dueAt) {
-		s.queue(n)
-	}
-	if s.now >= n.checkAt {
-		s.check(n)
+	default:
+		if n.elem == nil && (n.tries == 0 || s.now >= n.dueAt) {
+			s.queue(n)
+		}
+		if s.now >= n.checkAt {
+			s.check(n)
+		}
 	}
 }
 
@@ -658,7 +659,7 @@
 		if e := c.e; !c.overdue && float64(s.now-c.sentAt) > max(2*s.prior, overdueAfter*e.past) {
 			c.overdue = true
 			e.overdue++
-			if e.overdue >= failsToAside && e.heardAt <= c.sentAt && !e.aside {
+			if e.overdue >= failsToAside && e.goodAt <= c.sentAt && !e.aside {
 				s.setAside(e)
 			}
 		}
@@ -682,7 +683,7 @@
 			if e.aside && !e.passed && e.listed && !e.probing && s.now >= max(e.tryAt, e.route.haltUntil) &&
 				s.coldReady(e) {
 				e.probing = true
-				e.cold.level--
+				e.cold.level -= probeWeight
 				s.h.Probe(e.id)
 			}
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -78,6 +78,26 @@
 	// 650.0   dispatch q to c
 }
 
+// A long told wait is that of a shut destination: once it opens, what was held goes out bit by bit, also
+// to endpoints that were not asked, and although a call from before was answered meanwhile.
+func ExampleSender_longWait() {
+	d := open(plain())
+	d.s.ListNews([]Entry{{Endpoint: "b", Destination: 1, Rating: 10}}, false, false)
+	d.take(0, 1, "p", "q", "r").ended(Full, 3*Second, "a", "p").ended(Done, 0, "a", "q").take(2, 1, "s", "t", "u", "v")
+	d.run(6 * Second)
+	// Output:
+	// 0.0     dispatch r to a
+	// 0.0     dispatch q to a
+	// 0.0     dispatch p to b
+	// 3200.0  dispatch v to a
+	// 3200.0  dispatch u to b
+	// 4050.0  dispatch t to b
+	// 4300.0  probe a
+	// 5350.0  probe b
+	// 5740.1  shed p
+	// 5790.1  shed s
+}
+
 // Sends of one turn to one endpoint share a call: five notices of a kind that bundles three.
 func ExampleSender_bundle() {
 	d := open(plain()).take(2, 2, "p", "q", "r", "s", "t")
@@ -204,8 +224,8 @@
 	d := open(set).take(0, 9, "p", "q", "r", "s", "t").take(0, 2, "healthy", "too")
 	fmt.Println(len(d.s.held), "held")
 	// Output:
-	// 0.0     shed t
 	// 0.0     shed p
+	// 0.0     shed q
 	// 0.0     dispatch too to c
 	// 0.0     dispatch healthy to c
 	// 5 held
--- a/choice/host.go
+++ b/choice/host.go
@@ -84,8 +84,7 @@
 	Probing        bool
 	Notes          bool
 	Cancelling     bool
-	NamesReturn    bool // a shed reply may name a time to come back
-	LongestReturn  Time
+	LongestReturn  Time // the longest time to come back that a shed reply may name; 0 for none
 	DialTimeout    Time
 	Turn           Time // turns come at most this often
 	AskForList     bool
--- a/internal/drill/settings.go
+++ b/internal/drill/settings.go
@@ -82,8 +82,6 @@
 		Probing:        b.Bounds.Probing,
 		Notes:          b.Bounds.Peers,
 		Cancelling:     b.Bounds.Cancel,
-		NamesReturn:    b.Bounds.RetryAfter,
-		LongestReturn:  down(b.Bounds.MaxRetryAfter),
 		DialTimeout:    up(b.Bounds.DialTimeout),
 		Turn:           up(b.Quantum),
 		AskForList:     b.Discovery == "on_request",
@@ -109,6 +107,9 @@
 	if s.MaxDispatches == 0 {
 		s.MaxDispatches = math.MaxInt
 	}
+	if b.Bounds.RetryAfter {
+		s.LongestReturn = down(b.Bounds.MaxRetryAfter)
+	}
 	for i, c := range b.Classes {
 		repeat, known := repeats[c.Idempotency]
 		if !known {
