A single-use notice waits four seconds more before it tries an endpoint set aside

Replayable ones tell sooner and risk nothing. Harm: a destination that gets single-use notices alone returns up to 4 s later.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -757,7 +757,7 @@
 			// A single dispatch tries it, one that may be repeated if any comes.
 			wait := e.tryAt
 			if n.w.Repeat == SingleUse {
-				wait += lastTrial / 2
+				wait += 2 * lastTrial
 			}
 			if e.passed && e.calls == e.overdue && s.now >= wait && trial == nil && s.coldReady(e) {
 				trial = e
