Rank endpoints by mean time and calls out; the cold budget is 1.2 of the known part

Cause: the endpoint with the least mean was filled to its limit and queued while its sister stood idle. Ranking by the time after which one more call would be answered spreads them, with no new figure. What a destination is known to take (a limit, or own throughput) lies under its capacity, so the budget of a return may be a fifth more than that.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,7 +31,7 @@
 	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
 	firstTrial    = 300 * Millisecond  // first pause before an endpoint set aside is tried
 	lastTrial     = 2 * Second
-	coldPart      = 1.0        // of the budget of a returning destination that this sender uses
+	coldPart      = 1.2        // times its known part: a limit or own throughput lies under the capacity
 	probeWeight   = 0.3        // what a probe weighs on a cold destination
 	rideWeight    = 0.15       // what a further notice in a call weighs on a cold destination
 	paceCut       = 0.7        // of the rate that met a refusal
@@ -139,7 +139,8 @@
 		kinds: set.Kinds, workloads: set.Workloads, halving: set.Halving, slots: set.Slots,
 		laneMax: max(1, set.Slots/laneShare),
 		maxOpen: set.MaxOpen, maxTries: set.MaxDispatches, senders: float64(set.Senders),
-		zone: set.Zone, longest: set.LongestReturn, overGain: set.OverShareGain, probes: set.Probing, turn: max(1, set.Turn),
+		zone: set.Zone, longest: set.LongestReturn, overGain: set.OverShareGain, probes: set.Probing,
+		turn:     max(1, set.Turn),
 		fallRate: set.FallMultiple * coldPart, coldShare: set.ColdFrom, cold: set.Cold, keyRest: set.KeyRest,
 		held: map[NoticeID]*notice{}, timers: map[TimerID]*notice{},
 		lines: map[OrderKey]*keyLine{}, byID: map[DestinationID]*destination{},
@@ -513,6 +514,9 @@
 	e.past += max(pastGain, 1/e.seen) * (took - e.past)
 }
 
+// busy is the time after which one more call would be answered, were they served one by one.
+func (e *endpoint) busy() float64 { return e.mean * float64(1+e.calls) }
+
 // refused tells a limit from a shut destination: where the report shows the allowance used up, fewer
 // calls are the answer, with more notices in each. Else a run of refusals with nothing done is an outage.
 func (s *Sender) refused(c *call, o Outcome) {
@@ -612,15 +616,11 @@
 // Probed tells what a probe found.
 func (s *Sender) Probed(id EndpointID, result Result) {
 	s.now = s.h.Now()
-	e := s.endpoints[id]
-	if e == nil || !e.probing {
-		return
-	}
-	e.probing = false
-	if e.aside && result == Done {
-		e.passed = true
-	} else if e.aside {
-		s.setAside(e)
+	if e := s.endpoints[id]; e != nil && e.probing {
+		e.probing, e.passed = false, result == Done
+		if e.aside && result != Done {
+			s.setAside(e)
+		}
 	}
 }
 
@@ -678,7 +678,7 @@
 			// Room is tried again little by little, shared by the endpoints of a route.
 			e.route.pace.rate *= 1 + paceGrow*seconds(tick)/float64(len(d.ranked))
 		}
-		slices.SortStableFunc(d.ranked, func(a, b *endpoint) int { return cmp.Compare(a.mean, b.mean) })
+		slices.SortStableFunc(d.ranked, func(a, b *endpoint) int { return cmp.Compare(a.busy(), b.busy()) })
 		for _, e := range d.ranked {
 			if e.aside && !e.passed && e.listed && !e.probing && s.now >= max(e.tryAt, e.route.haltUntil) &&
 				s.coldReady(e) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -89,11 +89,11 @@
 	// 0.0     dispatch r to a
 	// 0.0     dispatch q to a
 	// 0.0     dispatch p to b
-	// 3200.0  dispatch v to a
-	// 3200.0  dispatch u to b
-	// 4050.0  dispatch t to b
+	// 3200.0  dispatch v to b
+	// 3200.0  dispatch u to a
+	// 3950.0  dispatch t to b
 	// 4300.0  probe a
-	// 5350.0  probe b
+	// 5250.0  probe b
 	// 5740.1  shed p
 	// 5790.1  shed s
 }
@@ -197,7 +197,6 @@
 	// 0.0     give up p
 	// 0.0     give up q
 	// 300.0   dispatch again to a
-	// 1350.0  dispatch once to a
 }
 
 // A refusal with the allowance used up is a limit: the endpoint stays in use, at a slower pace.
