--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,7 +21,7 @@
 	meanGain      = 0.125            // weight of a new measurement in mean and spread
 	pastGain      = 0.02             // weight of a new measurement in an endpoint's own past
 	patience      = 10.0             // spreads above the mean before a repeatable call is given up
-	finalPatience = 4.0              // times longer where a time-out is final
+	finalPatience = 4.0              // times longer where a time-out is final, with all slots free; no longer with none
 	overdueAfter  = 4.0              // times its past before a call out counts as unanswered
 	firstLimit    = 2.0              // calls out that an unknown or returning endpoint may hold
 	failsToAside  = 2                // failures in a row
@@ -534,7 +534,7 @@
 		r.lastCut = s.now
 		r.pace.rate = max(leastPace, paceCut*r.load.read(s.now, loadSpan))
 		if r.limit > 0 {
-			r.pace.rate = max(r.limit/s.senders, min(r.pace.rate, r.limit))
+			r.pace.rate = r.limit / s.senders
 		}
 	}
 }
@@ -801,7 +801,7 @@
 func (s *Sender) timeOut(n *notice, e *endpoint) Time {
 	usual := max(2*s.prior, e.mean+patience*e.dev)
 	if n.w.Repeat == SingleUse {
-		usual *= finalPatience
+		usual *= 1 + (finalPatience-1)*float64(s.slots-len(s.calls))/float64(s.slots)
 	} else {
 		usual *= float64(n.tries)
 	}
