Refusals that tell no wait, with nothing done, halt the route for a guessed wait that doubles

Replaces setting aside after refusals, whose probes say nothing of refusals. Guards also against queues jammed for long; harms a limit that is not reported and very low, by up to 8 s.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,7 +21,7 @@
 	meanGain      = 0.125            // weight of a new measurement in mean and spread
 	pastGain      = 0.02             // weight of a new measurement in an endpoint's own past
 	patience      = 10.0             // spreads above the mean before a repeatable call is given up
-	finalPatience = 4.0              // times longer where a time-out is final, with all slots free; no longer with none
+	finalPatience = 4.0              // times longer where a time-out is final and all slots are free
 	overdueAfter  = 4.0              // times its past before a call out counts as unanswered
 	firstLimit    = 2.0              // calls out that an unknown or returning endpoint may hold
 	failsToAside  = 2                // failures in a row
@@ -31,15 +31,15 @@
 	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
 	firstTrial    = 300 * Millisecond  // first pause before an endpoint set aside is tried
 	lastTrial     = 2 * Second
+	lastGuess     = 8 * Second // longest wait assumed where refusals tell none
 	coldPart      = 1.2        // times its known part: a limit or own throughput lies under the capacity
 	probeWeight   = 0.3        // what a probe weighs on a cold destination
 	rideWeight    = 0.15       // what a further notice in a call weighs on a cold destination
 	paceCut       = 0.7        // of the rate that met a refusal
-	loadSpan      = 2 * Second // over which sends, and below dones, are averaged
-	goodSpan      = 4 * Second
-	paceGrow      = 0.05 // a second
-	leastPace     = 0.3  // calls a second
-	crowdFrom     = 0.85 // share of MaxOpen from which notices are turned away by chance
+	loadSpan      = 2 * Second // over which sends, and in twice of it dones, are averaged
+	paceGrow      = 0.05       // a second
+	leastPace     = 0.3        // calls a second
+	crowdFrom     = 0.85       // share of MaxOpen from which notices are turned away by chance
 )
 
 const tickTimer TimerID = 0 // the others stand for notices
@@ -79,11 +79,11 @@
 // route is what limits, waits and a return from an outage are counted for: a destination, or one
 // endpoint where endpoints are routes apart.
 type route struct {
-	pace                         bucket // rate 0 while no limit was met
-	load, good                   meter  // own calls sent and notices done
-	peak, rating, limit          float64
-	haltUntil, lastGood, lastCut Time
-	run                          int // refusals since something was done
+	pace                                bucket // rate 0 while no limit was met
+	load, good                          meter  // own calls sent and notices done
+	peak, rating, limit                 float64
+	haltUntil, lastGood, lastCut, guess Time
+	run                                 int // refusals since something was done
 }
 
 type endpoint struct {
@@ -285,13 +285,11 @@
 	if n.line != nil && (n.line.notices[0] != n || s.now < n.line.restUntil && n.tries == 0) {
 		return
 	}
-	switch {
-	case n.tries == 0:
+	n.queue = n.d.due
+	if n.tries == 0 {
 		n.queue = n.d.fresh[n.Workload]
-	case n.refused:
+	} else if n.refused {
 		n.queue = n.d.lane
-	default:
-		n.queue = n.d.due
 	}
 	n.elem = n.queue.PushBack(n)
 	n.d.waiting++
@@ -427,7 +425,7 @@
 	}
 	if o.Result == Done {
 		r := c.e.route
-		r.good.count(s.now, goodSpan)
+		r.good.count(s.now, 2*loadSpan)
 		r.peak = max(r.peak, r.good.rate)
 	}
 	c.left--
@@ -487,7 +485,7 @@
 	case Done:
 		e.measure(float64(o.Took))
 		e.goodAt, r.lastGood = s.now, s.now
-		e.fails, r.run = 0, 0
+		e.fails, r.run, r.guess = 0, 0, 0
 		if e.aside {
 			s.comeBack(e, c.sentAt)
 		} else if e.mean < 2*e.past {
@@ -518,7 +516,8 @@
 func (e *endpoint) busy() float64 { return e.mean * float64(1+e.calls) }
 
 // refused tells a limit from a shut destination: where the report shows the allowance used up, fewer
-// calls are the answer, with more notices in each. Else a run of refusals with nothing done is an outage.
+// calls are the answer, with more notices in each. Else a run of refusals with nothing done is an outage,
+// and where it tells no wait one is guessed, doubling. Harm: a limit that is not reported and very low.
 func (s *Sender) refused(c *call, o Outcome) {
 	e, r := c.e, c.e.route
 	r.run++
@@ -527,12 +526,15 @@
 	}
 	if o.Report.Limit > 0 && (o.Report.Left-usedUp)*o.Report.Limit < 1 && o.Wait <= longWait {
 		s.comeBack(e, c.sentAt)
-	} else if e.aside || r.run >= refusedRun && s.now-r.lastGood > quietFor {
+	} else if e.aside {
 		s.setAside(e)
+	} else if o.Wait == 0 && r.run >= refusedRun && s.now-r.lastGood > quietFor && s.now >= r.haltUntil {
+		r.guess = min(lastGuess, max(firstTrial, 2*r.guess))
+		// As if told: with no wait to heed, refusals alone would keep the limit used up.
+		s.halt(e, r.guess/2+s.chance.upTo(string(e.id), r.guess/2))
 	}
 	if s.now-r.lastCut > Second {
-		r.lastCut = s.now
-		r.pace.rate = max(leastPace, paceCut*r.load.read(s.now, loadSpan))
+		r.lastCut, r.pace.rate = s.now, max(leastPace, paceCut*r.load.read(s.now, loadSpan))
 		if r.limit > 0 {
 			r.pace.rate = r.limit / s.senders
 		}
