--- a/choice/choice.go
+++ b/choice/choice.go
@@ -194,7 +194,7 @@
 		}
 		if e == nil {
 			e = &endpoint{id: entry.Endpoint, d: d, route: d.route, limit: firstLimit, coldFrom: -s.cold,
-				mean: s.prior, dev: s.prior / 2, past: s.prior}
+				mean: s.prior, dev: s.prior, past: s.prior}
 			if kind.Apart {
 				e.route = &route{}
 			}
@@ -807,8 +807,5 @@
 	} else {
 		usual *= float64(n.tries)
 	}
-	if t := Time(math.Ceil(usual)); s.now+2*t < n.HardStop {
-		return t
-	}
-	return max(1, n.HardStop-s.now-s.turn)
+	return max(1, min(Time(math.Ceil(usual)), n.HardStop-s.now-s.turn))
 }
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -30,7 +30,7 @@
 	// Output:
 	// timer	sender-0	50000000	0
 	// timer	sender-0	5790100000	1
-	// submit_to	sender-0	t/a	1200000000	endpoint_a
+	// submit_to	sender-0	t/a	2200000000	endpoint_a
 	// done
 	// done
 }
