An unknown endpoint's usual time is half the shortest contract time

Cause: as for the spread, first calls at endpoints not yet measured were ended or held for silent too soon.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,7 +16,7 @@
 	tick          = 50 * Millisecond // renews ranks, finds silence, lets waits end
 	baseShare     = 0.25             // first retry ceiling, as a share of the shortest contract time
 	capShare      = 2.0              // highest retry ceiling, likewise
-	priorShare    = 0.25             // a call's usual time before any was measured, likewise
+	priorShare    = 0.5              // a call's usual time before any was measured, likewise
 	laneShare     = 4                // one slot in so many drains a destination's refused notices
 	meanGain      = 0.125            // weight of a new measurement in mean and spread
 	pastGain      = 0.02             // weight of a new measurement in an endpoint's own past
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -29,8 +29,8 @@
 		"finished sender-0 t/a 200000000 0 endpoint_a 1 OK - 0.4,3", "left sender-0 t/zz", "go")...)
 	// Output:
 	// timer	sender-0	50000000	0
-	// timer	sender-0	5790100000	1
-	// submit_to	sender-0	t/a	2200000000	endpoint_a
+	// timer	sender-0	5590100000	1
+	// submit_to	sender-0	t/a	4400000000	endpoint_a
 	// done
 	// done
 }
