Decide at full size: idle links closed, returns shared by the fleet, work follows what waits

Change: idle links of the own zone are closed where few own calls are due while they would last, the more so the more connections of the kind fail; cold budgets share a floor, begin by chance and do not fill during a told wait; one failure sets aside where nothing was answered lately; a large fleet tries by a notice instead of probes; paces have a floor of all senders together; endpoints of other zones not seen yet rank behind. The three answers to calls unanswered, timed out or without connection are one. Destinations are looked at when something waits or changed.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,13 +33,18 @@
 	lastTrial     = 2 * Second
 	lastGuess     = 8 * Second // longest wait assumed where refusals tell none
 	coldPart      = 1.2        // times its known part: a limit or own throughput lies under the capacity
-	probeWeight   = 0.3        // what a probe weighs on a cold destination
-	rideWeight    = 0.15       // what a further notice in a call weighs on a cold destination
-	paceCut       = 0.7        // of the rate that met a refusal
-	loadSpan      = 2 * Second // over which sends, and in twice of it dones, are averaged
-	paceGrow      = 0.05       // a second
-	leastPace     = 0.3        // calls a second
-	crowdFrom     = 0.85       // share of MaxOpen from which notices are turned away by chance
+
+	probeFleet = 8          // senders up to which each may probe: a probe is a call, and many are a push
+	coldFloor  = 0.5        // calls a cold time that a sender may make whatever it knows
+	rideWeight = 0.15       // what a further notice in a call weighs on a cold destination
+	paceCut    = 0.7        // of the rate that met a refusal
+	loadSpan   = 2 * Second // over which sends, and in twice of it dones, are averaged
+	leastPace  = 0.6        // calls a second of all senders together
+	unpaced    = 1e6        // calls a second while no limit was met
+	paceGrow   = 0.05       // a second
+	closeMore  = 30.0       // and for each share of connections that failed
+	closeUnder = 0.3        // own calls to come while a link would idle, below which it is closed
+	crowdFrom  = 0.85       // share of MaxOpen from which notices are turned away by chance
 )
 
 const tickTimer TimerID = 0 // the others stand for notices
@@ -47,17 +52,17 @@
 // notice is one held notice; it leaves Sender.held once it is over and nothing of it is out.
 type notice struct {
 	Notice
-	w                                      *Workload
-	d                                      *destination
-	out                                    *call
-	queue                                  *list.List
-	elem                                   *list.Element
-	line                                   *keyLine
-	gain                                   float64
-	tries                                  int
-	born, sentAt, mayRunAt, dueAt, checkAt Time
-	group                                  ZoneNo
-	mayRun, refused, over                  bool
+	w                             *Workload
+	d                             *destination
+	out                           *call
+	queue                         *list.List
+	elem                          *list.Element
+	line                          *keyLine
+	gain                          float64
+	tries                         int
+	born, sentAt, mayRunAt, dueAt Time
+	group                         ZoneNo
+	mayRun, refused, over         bool
 }
 
 // keyLine holds the notices of one order key in the order taken; dropped when empty and rested.
@@ -68,89 +73,100 @@
 }
 
 type destination struct {
-	route            *route
-	ranked           []*endpoint
-	fresh            []*list.List // one for each workload
-	due, lane        *list.List
-	bundle           int
-	laneOut, waiting int
+	id                     DestinationID
+	kind                   *kind
+	route                  *route
+	ranked                 []*endpoint
+	queues                 []*list.List // fresh ones, one for each workload, then due, then lane
+	laneOut, waiting, held int
+	stirred                bool // in Sender.stirred
+}
+
+// kind is what is known of all destinations that the list calls alike.
+type kind struct {
+	Kind
+	reports bool    // its answers tell of limits, so that a refusal without one is no limit's
+	short   float64 // share of late connections that failed
 }
 
 // route is what limits, waits and a return from an outage are counted for: a destination, or one
 // endpoint where endpoints are routes apart.
 type route struct {
-	pace                                bucket // rate 0 while no limit was met
-	load, good                          meter  // own calls sent and notices done
-	peak, rating, limit                 float64
+	pace                                bucket
+	load, good                          meter // own calls sent and done
+	done, peak, rating, limit           float64
 	haltUntil, lastGood, lastCut, guess Time
 	run                                 int // refusals since something was done
 }
 
 type endpoint struct {
-	id                                     EndpointID
-	d                                      *destination
-	route                                  *route
-	zone                                   ZoneNo
-	calls, overdue, fails                  int
-	limit, mean, dev, past, seen           float64
-	goodAt, asideAt, step, tryAt, coldFrom Time
-	listed, aside, passed, probing         bool
-	cold                                   bucket
-	open                                   *call
+	times
+	id                                                EndpointID
+	d                                                 *destination
+	route                                             *route
+	zone                                              ZoneNo
+	calls, fails                                      int
+	limit                                             float64
+	used                                              meter
+	goodAt, asideAt, step, tryAt, coldFrom, linkUntil Time
+	listed, aside, passed, probing                    bool
+	cold                                              bucket
+	open                                              *call
 }
 
 // call is one slot: the notices sent to one endpoint in one turn, until all have their outcomes.
 type call struct {
-	e                     *endpoint
-	sentAt                Time
-	n, left               int
-	lane, judged, overdue bool
+	e                         *endpoint
+	sentAt                    Time
+	n, left                   int
+	lane, judged, lost, fresh bool // fresh: on a new connection
 }
 
 type Sender struct {
 	h                                                                  Host
 	chance                                                             chance
 	workloads                                                          []Workload
-	kinds                                                              []Kind
+	kinds                                                              []kind
 	shares                                                             []bucket // by account
 	zone                                                               ZoneNo
 	slots, laneMax, maxOpen, maxTries                                  int
 	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare float64
-	now, base, cap, turn, cold, keyRest, askAt                         Time
-	longest                                                            Time // 0 where a shed reply names no time
-	askEvery                                                           Time // 0 where the list comes by itself
+	connIdle, now, born, base, cap, turn, cold, keyRest, askAt         Time
+	longest, askEvery                                                  Time // 0 for none
 	probes, watching, halving                                          bool
 	lastTimer                                                          TimerID
 
-	held         map[NoticeID]*notice  // emptied as notices end
-	timers       map[TimerID]*notice   // emptied as each fires, at a notice's hard stop at the latest
-	lines        map[OrderKey]*keyLine // emptied when a key has no notice and its rest is over
-	destinations []*destination        // one for each destination met
-	byID         map[DestinationID]*destination
-	endpoints    map[EndpointID]*endpoint // emptied by the tick once gone and without calls
-	calls        []*call                  // at most one for each slot
-	opened       []*endpoint              // emptied at each turn's end
+	held      map[NoticeID]*notice           // emptied as notices end
+	timers    map[TimerID]*notice            // emptied as each fires, at a notice's hard stop at the latest
+	lines     map[OrderKey]*keyLine          // emptied when a key has no notice and its rest is over
+	byID      map[DestinationID]*destination // emptied by the tick once without endpoints and notices
+	endpoints map[EndpointID]*endpoint       // likewise, once gone and without calls
+	waiting   []*destination                 // those with a queued notice, longest waiting first
+	stirred   []*destination                 // those the next tick looks at; emptied as they settle
+	calls     []*call                        // at most one for each slot
+	opened    []*endpoint                    // emptied at each turn's end
 }
 
 // Start begins an empty sender. Nothing of an earlier life reaches it.
 func Start(h Host, id SenderID, seed int64, set Settings) *Sender {
 	s := &Sender{
-		h: h, chance: newChance(id, seed), now: h.Now(),
-		kinds: set.Kinds, workloads: set.Workloads, halving: set.Halving, slots: set.Slots,
+		h: h, chance: newChance(id, seed), now: h.Now(), born: h.Now(),
+		workloads: set.Workloads, halving: set.Halving, slots: set.Slots,
 		laneMax: max(1, set.Slots/laneShare),
 		maxOpen: set.MaxOpen, maxTries: set.MaxDispatches, senders: float64(set.Senders),
-		zone: set.Zone, longest: set.LongestReturn, overGain: set.OverShareGain, probes: set.Probing,
-		turn:     max(1, set.Turn),
+		zone: set.Zone, longest: set.LongestReturn, overGain: set.OverShareGain,
+		probes: set.Probing && set.Senders <= probeFleet,
+
 		fallRate: set.FallMultiple * coldPart, coldShare: set.ColdFrom, cold: set.Cold, keyRest: set.KeyRest,
 		held: map[NoticeID]*notice{}, timers: map[TimerID]*notice{},
+		connIdle: set.ConnIdle, turn: max(1, set.Turn),
 		lines: map[OrderKey]*keyLine{}, byID: map[DestinationID]*destination{},
 		endpoints: map[EndpointID]*endpoint{},
 	}
-	switch set.Rating {
-	case RatingExact:
-		s.ratingPart = 1 / s.senders
-	case RatingRough: // it may be half too high
-		s.ratingPart = 1 / (1.5 * s.senders)
+	// A rough rating may be half too high.
+	s.ratingPart = [...]float64{RatingNone: 0, RatingRough: 1 / 1.5, RatingExact: 1}[set.Rating] / s.senders
+	for _, k := range set.Kinds {
+		s.kinds = append(s.kinds, kind{Kind: k})
 	}
 	shortest := Time(math.MaxInt64)
 	for _, w := range set.Workloads {
@@ -176,9 +192,7 @@
 // sender knew before it started; it does not show that a watch stands.
 func (s *Sender) ListNews(entries []Entry, whole, stale bool) {
 	s.now = s.h.Now()
-	if !stale {
-		s.watching = true
-	}
+	s.watching = s.watching || !stale
 	if whole {
 		for _, e := range s.endpoints {
 			e.listed = false
@@ -186,27 +200,26 @@
 	}
 	for _, entry := range entries {
 		d := s.destination(entry.Destination)
-		kind := s.kinds[max(0, min(int(entry.Kind), len(s.kinds)-1))]
-		d.bundle = kind.BundleMax
+		d.kind = &s.kinds[max(0, min(int(entry.Kind), len(s.kinds)-1))]
 		e := s.endpoints[entry.Endpoint]
 		if e != nil && e.d != d {
 			e.listed, e = false, nil
 		}
 		if e == nil {
 			e = &endpoint{id: entry.Endpoint, d: d, route: d.route, limit: firstLimit, coldFrom: -s.cold,
-				mean: s.prior, dev: s.prior, past: s.prior}
-			if kind.Apart {
-				e.route = &route{}
+				times: times{mean: s.prior, dev: s.prior, past: s.prior}}
+			if d.kind.Apart {
+				e.route = &route{pace: bucket{unpaced, unpaced, s.now}}
 			}
 			s.endpoints[e.id] = e
 			d.ranked = append(d.ranked, e)
 		}
+
 		e.zone, e.listed = entry.Zone, entry.Stage == Ready
 		e.route.rating = entry.Rating * s.ratingPart
 	}
 }
 
-// ListFailed tells that a watch could not be had or broke; whether one stands is not known.
 func (s *Sender) ListFailed() {
 	s.now = s.h.Now()
 	s.watching = false
@@ -216,17 +229,24 @@
 func (s *Sender) destination(id DestinationID) *destination {
 	d := s.byID[id]
 	if d == nil {
-		d = &destination{bundle: 1, route: &route{}, due: list.New(), lane: list.New()}
-		for range s.workloads {
-			d.fresh = append(d.fresh, list.New())
+		d = &destination{id: id, route: &route{pace: bucket{unpaced, unpaced, s.now}}}
+		for range len(s.workloads) + 2 {
+			d.queues = append(d.queues, list.New())
 		}
 		s.byID[id] = d
-		s.destinations = append(s.destinations, d)
 	}
+	s.stir(d)
 	return d
 }
 
-// Taken tells of a new notice.
+// stir has the next tick look at a destination: work follows what changed, not the size of the list.
+func (s *Sender) stir(d *destination) {
+	if !d.stirred {
+		d.stirred = true
+		s.stirred = append(s.stirred, d)
+	}
+}
+
 func (s *Sender) Taken(in Notice) {
 	s.now = s.h.Now()
 	w := &s.workloads[in.Workload]
@@ -240,11 +260,12 @@
 		}
 	}
 	s.held[n.ID] = n
+	n.d.held++
 	if s.now > s.lastSend(n) || s.turnsAway(n) {
 		s.finish(n)
 		return
 	}
-	s.check(n)
+	s.wake(n, s.lastSend(n)+1)
 	if w.ByArrival && n.Key != NoKey {
 		n.line = s.lines[n.Key]
 		if n.line == nil {
@@ -265,41 +286,48 @@
 		return false
 	}
 	victim := n
-	longest := slices.MaxFunc(s.destinations, func(a, b *destination) int { return a.waiting - b.waiting })
-	for _, l := range append([]*list.List{longest.due, longest.lane}, longest.fresh...) {
-		if l.Len() > 0 {
-			if v := l.Front().Value.(*notice); victim == n && longest != n.d || s.worth(v) < s.worth(victim) {
-				victim = v
+	if len(s.waiting) > 0 {
+		longest := slices.MaxFunc(s.waiting, func(a, b *destination) int { return a.waiting - b.waiting })
+		for _, l := range longest.queues {
+			if l.Len() > 0 {
+				if v := l.Front().Value.(*notice); victim == n && longest != n.d || s.worth(v) < s.worth(victim) {
+					victim = v
+				}
 			}
 		}
 	}
-	if victim == n {
-		return true
+	if victim != n {
+		s.finish(victim)
 	}
-	s.finish(victim)
-	return false
+	return victim == n
 }
 
-// queue puts a notice where it waits for a slot, if its key lets it.
 func (s *Sender) queue(n *notice) {
 	if n.line != nil && (n.line.notices[0] != n || s.now < n.line.restUntil && n.tries == 0) {
 		return
 	}
-	n.queue = n.d.due
-	if n.tries == 0 {
-		n.queue = n.d.fresh[n.Workload]
-	} else if n.refused {
-		n.queue = n.d.lane
+	n.queue = n.d.queues[n.Workload]
+	if n.refused {
+		n.queue = n.d.lane()
+	} else if n.tries > 0 {
+		n.queue = n.d.queues[len(s.workloads)]
 	}
 	n.elem = n.queue.PushBack(n)
-	n.d.waiting++
+	if n.d.waiting++; n.d.waiting == 1 {
+		s.waiting = append(s.waiting, n.d)
+	}
 }
 
+func (d *destination) lane() *list.List { return d.queues[len(d.queues)-1] }
+
 func (s *Sender) unqueue(n *notice) {
 	if n.elem != nil {
 		n.queue.Remove(n.elem)
 		n.queue, n.elem = nil, nil
-		n.d.waiting--
+		if n.d.waiting--; n.d.waiting == 0 {
+			i := slices.Index(s.waiting, n.d)
+			s.waiting = slices.Delete(s.waiting, i, i+1)
+		}
 	}
 }
 
@@ -309,13 +337,6 @@
 	s.h.Timer(max(1, at-s.now), s.lastTimer)
 }
 
-// check sees to it that a held notice is answered once no dispatch of it can end in time, against
-// losing it when nothing else happens to its destination.
-func (s *Sender) check(n *notice) {
-	n.checkAt = s.lastSend(n) + 1
-	s.wake(n, n.checkAt)
-}
-
 // lastSend is the last time at which a dispatch has room for one usual call.
 func (s *Sender) lastSend(n *notice) Time {
 	usual := min(s.usual(n.d), float64(n.w.HardStop)/4)
@@ -326,7 +347,6 @@
 	return last
 }
 
-// worth is the gain that a notice still earns if it is sent now.
 func (s *Sender) worth(n *notice) float64 {
 	return n.gain * n.w.Fade(s.now+Time(s.usual(n.d))-n.born, s.halving)
 }
@@ -343,7 +363,7 @@
 // Withdrawn tells that nobody wants a notice any more; what is out of it still ends by itself.
 func (s *Sender) Withdrawn(id NoticeID) {
 	s.now = s.h.Now()
-	if n := s.held[id]; n != nil && !n.over {
+	if n := s.held[id]; n != nil {
 		n.over = true
 		s.unqueue(n)
 		s.release(n)
@@ -357,29 +377,23 @@
 	if n.mayRun || n.out != nil {
 		s.h.GiveUp(n.ID)
 	} else {
-		back := Time(0)
-		if s.longest > 0 {
-			back = min(s.longest, max(s.base, s.haltEnd(n.d)-s.now))
-		}
-		s.h.Shed(n.ID, back)
+		s.h.Shed(n.ID, min(s.longest, max(s.base, s.haltEnd(n.d)-s.now)))
 	}
 	s.release(n)
 }
 
 func (s *Sender) release(n *notice) {
-	if !n.over || n.out != nil {
+	if n.out != nil {
 		return
 	}
 	delete(s.held, n.ID)
-	line := n.line
-	if line == nil {
-		return
-	}
-	i := slices.Index(line.notices, n)
-	line.notices = slices.Delete(line.notices, i, i+1)
-	if s.now < line.restUntil {
-		s.wake(n, line.restUntil)
-	} else {
+	n.d.held--
+	s.stir(n.d)
+	if line := n.line; line != nil {
+		line.notices = slices.DeleteFunc(line.notices, func(other *notice) bool { return other == n })
+		if s.now < line.restUntil {
+			s.wake(n, line.restUntil)
+		}
 		s.advance(line)
 	}
 }
@@ -396,18 +410,14 @@
 	}
 }
 
-// haltEnd is when the first endpoint of a destination may be sent to again.
 func (s *Sender) haltEnd(d *destination) Time {
-	end := d.route.haltUntil
-	for i, e := range d.ranked {
-		if i == 0 || e.route.haltUntil < end {
-			end = e.route.haltUntil
-		}
+	end := Time(math.MaxInt64)
+	for _, e := range d.ranked {
+		end = min(end, e.route.haltUntil)
 	}
-	return end
+	return min(end, max(d.route.haltUntil, s.now))
 }
 
-// Ended tells how a dispatch ended.
 func (s *Sender) Ended(o Outcome) {
 	s.now = s.h.Now()
 	n := s.held[o.Notice]
@@ -421,15 +431,9 @@
 		s.learn(c, o)
 	} else if o.Wait > 0 {
 		// The notices of one call may be told at different times, and a wait counts from the last.
-		s.halt(c.e, o.Wait)
+		s.halt(c.e, o.Wait, false)
 	}
-	if o.Result == Done {
-		r := c.e.route
-		r.good.count(s.now, 2*loadSpan)
-		r.peak = max(r.peak, r.good.rate)
-	}
-	c.left--
-	if c.left == 0 {
+	if c.left--; c.left == 0 {
 		s.hangUp(c)
 	}
 	switch o.Result {
@@ -459,15 +463,18 @@
 	ceiling := min(s.cap, s.base<<min(n.tries-1, 20))
 	n.dueAt = min(s.now+s.chance.upTo(string(n.ID), ceiling), last)
 	s.wake(n, n.dueAt)
-	if last < n.checkAt-1 {
-		s.check(n)
-	}
+	s.wake(n, last+1)
 }
 
 func (s *Sender) hangUp(c *call) {
 	c.e.calls--
-	if c.overdue {
-		c.e.overdue--
+	c.e.linkUntil = s.now + s.connIdle
+	// Idle links of a large fleet fill a destination's table: the more connections fail, the oftener one
+	// must be used to stay. Those to other zones are dear to open and stay.
+	if use := c.e.used.read(s.now, loadSpan*Time(s.senders)) * seconds(s.connIdle); c.e.calls == 0 &&
+		c.e.d.waiting == 0 && c.e.zone == s.zone && use < closeUnder+closeMore*c.e.d.kind.short {
+		s.h.CloseIdle(c.e.id)
+		c.e.linkUntil = s.now
 	}
 	if c.lane {
 		c.e.d.laneOut--
@@ -475,16 +482,22 @@
 	s.calls = slices.DeleteFunc(s.calls, func(other *call) bool { return other == c })
 }
 
-// learn takes from one call's fate what it says of its endpoint, once for all notices in it.
 func (s *Sender) learn(c *call, o Outcome) {
 	e, r := c.e, c.e.route
+	s.stir(e.d)
 	if o.Report.Known {
-		r.limit = o.Report.Limit
+		r.limit, e.d.kind.reports = o.Report.Limit, true
 	}
 	switch o.Result {
 	case Done:
-		e.measure(float64(o.Took))
+
+		e.measure(float64(o.Took), meanGain, pastGain)
+		if c.fresh {
+			e.d.kind.short *= 1 - meanGain
+		}
 		e.goodAt, r.lastGood = s.now, s.now
+		r.good.count(s.now, loadSpan*Time(s.senders))
+		r.done, r.peak = r.done+1, max(r.peak, r.good.rate)
 		e.fails, r.run, r.guess = 0, 0, 0
 		if e.aside {
 			s.comeBack(e, c.sentAt)
@@ -494,69 +507,79 @@
 	case Full:
 		s.refused(c, o)
 	case Errored, Reset:
-		s.failed(e)
-	case ConnectFailed, TimedOut:
-		// A full table of connections, or a lost call, while others are answered: less at once is enough.
-		if e.goodAt > c.sentAt {
-			e.limit = max(1, e.limit/2)
-		} else {
-			s.failed(e)
-		}
+		s.failed(e, 0)
+	case ConnectFailed:
+		e.d.kind.short += meanGain * (1 - e.d.kind.short)
+		fallthrough
+	case TimedOut:
+		s.lost(c)
 	}
 }
 
-func (e *endpoint) measure(took float64) {
-	e.seen++
-	e.dev += max(meanGain, 1/e.seen) * (max(math.Abs(took-e.mean), e.mean/2/e.seen) - e.dev)
-	e.mean += max(meanGain, 1/e.seen) * (took - e.mean)
-	e.past += max(pastGain, 1/e.seen) * (took - e.past)
+// busy is the time after which one more call would be answered, were they served one by one. An endpoint
+// of another zone not seen yet ranks behind: its distance is not in the prior.
+func (s *Sender) busy(e *endpoint) float64 {
+	if e.seen == 0 && e.zone != s.zone {
+		return 2 * e.mean
+	}
+	return e.mean * float64(1+e.calls)
 }
 
-// busy is the time after which one more call would be answered, were they served one by one.
-func (e *endpoint) busy() float64 { return e.mean * float64(1+e.calls) }
-
 // refused tells a limit from a shut destination: where the report shows the allowance used up, fewer
 // calls are the answer, with more notices in each. Else a run of refusals with nothing done is an outage,
 // and where it tells no wait one is guessed, doubling. Harm: a limit that is not reported and very low.
 func (s *Sender) refused(c *call, o Outcome) {
 	e, r := c.e, c.e.route
 	r.run++
+	limited := o.Report.Limit > 0 && (o.Report.Left-usedUp)*o.Report.Limit < 1
 	if o.Wait > 0 {
-		s.halt(e, o.Wait)
+		s.halt(e, o.Wait, o.Wait > longWait || e.d.kind.reports && !limited)
 	}
-	if o.Report.Limit > 0 && (o.Report.Left-usedUp)*o.Report.Limit < 1 && o.Wait <= longWait {
+	if limited && o.Wait <= longWait {
 		s.comeBack(e, c.sentAt)
-	} else if e.aside {
-		s.setAside(e)
+	} else if e.aside || e.d.kind.reports {
+		s.failed(e, o.Report.Limit)
 	} else if o.Wait == 0 && r.run >= refusedRun && s.now-r.lastGood > quietFor && s.now >= r.haltUntil {
 		r.guess = min(lastGuess, max(firstTrial, 2*r.guess))
 		// As if told: with no wait to heed, refusals alone would keep the limit used up.
-		s.halt(e, r.guess/2+s.chance.upTo(string(e.id), r.guess/2))
+		s.halt(e, r.guess/2+s.chance.upTo(string(e.id), r.guess/2), false)
 	}
 	if s.now-r.lastCut > Second {
-		r.lastCut, r.pace.rate = s.now, max(leastPace, paceCut*r.load.read(s.now, loadSpan))
+		r.lastCut, r.pace.level = s.now, min(0, r.pace.level)
+		r.pace.rate = max(leastPace/s.senders, paceCut*r.load.read(s.now, loadSpan))
 		if r.limit > 0 {
 			r.pace.rate = r.limit / s.senders
 		}
 	}
 }
 
-func (s *Sender) failed(e *endpoint) {
+// lost tells of a call without an answer, once. Others answered meanwhile: less at once is enough.
+func (s *Sender) lost(c *call) {
+	if !c.lost && c.e.goodAt > c.sentAt {
+		c.e.limit = max(1, c.e.limit/2)
+	} else if !c.lost {
+		s.failed(c.e, 0)
+	}
+	c.lost = true
+}
+
+func (s *Sender) failed(e *endpoint, limit float64) {
 	e.fails++
-	if e.aside || e.fails >= failsToAside {
+	// One failure is enough where nothing was answered lately: a large fleet seldom sees two.
+	if e.aside || e.fails >= failsToAside || limit == 0 && s.now-e.goodAt > quietFor {
 		s.setAside(e)
 	}
 }
 
-// setAside stops sends to an endpoint whose calls fail, whatever the cause. It comes back by a probe,
-// which shows that the process runs, and then a trial call, which shows that calls are answered:
-// a shut destination answers probes. Harm: a healthy endpoint with two chance failures.
+// setAside stops sends to an endpoint whose calls fail, whatever the cause. It comes back by a probe, where
+// the fleet is small, and then a trial call. Harm: a healthy endpoint with two chance failures.
 func (s *Sender) setAside(e *endpoint) {
+	s.stir(e.d)
 	if e.aside {
 		e.step = min(lastTrial, 2*e.step)
 	} else {
 		e.aside, e.asideAt, e.step = true, s.now, firstTrial
-		e.cold.level, e.cold.at = 1, s.now
+		s.chill(e, max(s.now, e.route.haltUntil))
 	}
 	e.passed = !s.probes
 	e.tryAt = s.now + e.step/2 + s.chance.upTo(string(e.id), e.step/2)
@@ -566,31 +589,36 @@
 func (s *Sender) comeBack(e *endpoint, sentAt Time) {
 	e.fails = 0
 	if e.aside && sentAt >= e.asideAt {
-		e.chill(s.now)
+		s.chill(e, s.now)
 	}
 	e.aside = false
 }
 
-// halt heeds a told wait, jittered so that senders told alike do not return in step. A long one is that
-// of a shut destination: all its endpoints are cold when it opens, whatever they answered before.
-func (s *Sender) halt(e *endpoint, wait Time) {
+// halt heeds a told wait, jittered so that senders told alike do not return in step. Of a shut
+// destination all endpoints are cold when it opens, whatever they answered before.
+func (s *Sender) halt(e *endpoint, wait Time, shut bool) {
 	end := s.now + wait + s.chance.upTo(string(e.id), min(wait/8, tick*4))
 	e.route.haltUntil = max(e.route.haltUntil, end)
 	for _, other := range e.d.ranked {
-		if wait > longWait && other.route == e.route {
-			other.chill(end)
+		if other.route == e.route {
+			// What all may send once a wait is over must not pile up in it.
+			other.cold.at = max(other.cold.at, end)
+			if shut {
+				s.chill(other, end)
+			}
 		}
 	}
 }
 
-func (e *endpoint) chill(from Time) {
-	e.limit, e.mean = firstLimit, e.past
-	e.coldFrom, e.cold.level, e.cold.at = from, 1, from
+// chill starts a cold budget: two senders may begin at once, those of a fleet each by chance.
+func (s *Sender) chill(e *endpoint, from Time) {
+	e.limit, e.mean, e.coldFrom, e.cold.at = firstLimit, e.past, from, from
+	e.cold.level = 1 - s.chance.share(string(e.id))*max(0, 1-2/s.senders)
 }
 
 // known is what a route takes, as this sender's part in calls a second: by report, rating or own past.
 func (s *Sender) known(r *route) float64 {
-	return max(leastPace, r.limit/s.senders, r.rating, r.peak)
+	return max(max(leastPace, r.limit)/s.senders, r.rating, r.peak, r.done/seconds(max(s.cold, s.now-s.born)))
 }
 
 // coldReady bounds all that goes to an endpoint, probes too, while it is set aside or may be cold:
@@ -607,15 +635,16 @@
 	if !e.aside {
 		warm += (1 - warm) * float64(s.now-e.coldFrom) / float64(s.cold)
 	}
-	e.cold.rate = s.fallRate * warm * s.known(e.route) / float64(ends)
+	e.cold.rate = max(coldFloor/seconds(s.cold), s.fallRate*warm*s.known(e.route)) / float64(ends)
 	return e.cold.fill(s.now, 1) >= 1
 }
 
 func (r *route) ready(now Time) bool {
-	return now >= r.haltUntil && (r.pace.rate == 0 || r.pace.fill(now, max(1, r.pace.rate/2)) >= 1)
+	// Room is tried again little by little.
+	r.pace.rate = min(unpaced, r.pace.rate*math.Exp(paceGrow*seconds(now-r.pace.at)))
+	return now >= r.haltUntil && r.pace.fill(now, max(1, r.pace.rate/2)) >= 1
 }
 
-// Probed tells what a probe found.
 func (s *Sender) Probed(id EndpointID, result Result) {
 	s.now = s.h.Now()
 	if e := s.endpoints[id]; e != nil && e.probing {
@@ -626,10 +655,6 @@
 	}
 }
 
-// Noted tells of a peer's note. No note is sent today: see docs/design.md for what they earned.
-func (s *Sender) Noted(from PeerNo, body []byte) {}
-
-// TimerDue tells that a timer came due; one of a notice that has ended is ignored.
 func (s *Sender) TimerDue(id TimerID) {
 	s.now = s.h.Now()
 	if id == tickTimer {
@@ -649,54 +674,53 @@
 		if n.elem == nil && (n.tries == 0 || s.now >= n.dueAt) {
 			s.queue(n)
 		}
-		if s.now >= n.checkAt {
-			s.check(n)
-		}
+		// Else a notice is lost when nothing else happens to its destination.
+		s.wake(n, s.lastSend(n)+1)
 	}
 }
 
-// renew ranks the endpoints by what was measured, finds calls gone unanswered, probes what is aside.
 func (s *Sender) renew() {
 	for _, c := range s.calls {
-		if e := c.e; !c.overdue && float64(s.now-c.sentAt) > max(2*s.prior, overdueAfter*e.past) {
-			c.overdue = true
-			e.overdue++
-			if e.overdue >= failsToAside && e.goodAt <= c.sentAt && !e.aside {
-				s.setAside(e)
-			}
-		}
-	}
-	for _, d := range s.destinations {
-		d.ranked = slices.DeleteFunc(d.ranked, func(e *endpoint) bool {
-			if e.listed || e.calls > 0 || e.probing || s.now < max(e.coldFrom+s.cold, e.route.haltUntil) {
-				return false
-			}
-			if s.endpoints[e.id] == e {
-				delete(s.endpoints, e.id)
-			}
-			return true
-		})
-		for _, e := range d.ranked {
-			// Room is tried again little by little, shared by the endpoints of a route.
-			e.route.pace.rate *= 1 + paceGrow*seconds(tick)/float64(len(d.ranked))
-		}
-		slices.SortStableFunc(d.ranked, func(a, b *endpoint) int { return cmp.Compare(a.busy(), b.busy()) })
-		for _, e := range d.ranked {
-			if e.aside && !e.passed && e.listed && !e.probing && s.now >= max(e.tryAt, e.route.haltUntil) &&
-				s.coldReady(e) {
-				e.probing = true
-				e.cold.level -= probeWeight
-				s.h.Probe(e.id)
-			}
+		if float64(s.now-c.sentAt) > max(2*s.prior, overdueAfter*c.e.past) {
+			s.lost(c)
 		}
 	}
+	s.stirred = slices.DeleteFunc(s.stirred, s.settled)
 	if s.askEvery > 0 && !s.watching && s.now >= s.askAt {
 		s.h.Watch(true)
 		s.askAt = s.now + s.askEvery
 	}
 }
 
-// TurnEnd fills free slots, now that all that came in this turn is known.
+// settled ranks a destination's endpoints, probes what is aside, drops what is gone; it tells whether
+// nothing is left to come back for.
+func (s *Sender) settled(d *destination) bool {
+	d.ranked = slices.DeleteFunc(d.ranked, func(e *endpoint) bool {
+		if e.listed || e.calls > 0 || e.probing || s.now < max(e.coldFrom+s.cold, e.route.haltUntil) {
+			return false
+		}
+		if s.endpoints[e.id] == e {
+			delete(s.endpoints, e.id)
+		}
+		return true
+	})
+	slices.SortStableFunc(d.ranked, func(a, b *endpoint) int { return cmp.Compare(s.busy(a), s.busy(b)) })
+	d.stirred = false
+	for _, e := range d.ranked {
+		due := s.now >= max(e.tryAt, e.route.haltUntil)
+		if e.aside && !e.passed && e.listed && !e.probing && due && s.coldReady(e) {
+			e.probing = true
+			e.cold.level--
+			s.h.Probe(e.id)
+		}
+		d.stirred = d.stirred || e.aside || !e.listed
+	}
+	if len(d.ranked) == 0 && d.held == 0 {
+		delete(s.byID, d.id)
+	}
+	return !d.stirred
+}
+
 func (s *Sender) TurnEnd() {
 	s.now = s.h.Now()
 	for n, e := s.next(); n != nil; n, e = s.next() {
@@ -713,25 +737,16 @@
 func (s *Sender) next() (best *notice, to *endpoint) {
 	for tier := range 2 {
 		top := 0.0
-		for _, d := range s.destinations {
-			if d.waiting == 0 {
-				continue
-			}
-			lists := d.fresh
-			if tier == 1 {
-				lists = []*list.List{d.due, d.lane}
-			}
-			for _, l := range lists {
-				if l.Len() == 0 {
+		for _, d := range s.waiting {
+			for i, l := range d.queues {
+				if l.Len() == 0 || (i < len(s.workloads)) != (tier == 0) {
 					continue
 				}
 				n := l.Back().Value.(*notice)
-				e := s.place(n, l == d.lane && d.laneOut >= s.laneMax)
-				if e == nil {
-					continue
-				}
-				if v := (s.worth(n) + 1e-6) / max(1, e.mean); v > top {
-					best, to, top = n, e, v
+				if e := s.place(n, l == d.lane() && d.laneOut >= s.laneMax); e != nil {
+					if v := (s.worth(n) + 1e-6) / max(1, e.mean); v > top {
+						best, to, top = n, e, v
+					}
 				}
 			}
 		}
@@ -742,31 +757,22 @@
 	return nil, nil
 }
 
-// place finds the endpoint for a notice: the first of the ranked order with room.
 func (s *Sender) place(n *notice, rideOnly bool) *endpoint {
 	var trial *endpoint
 	for _, e := range n.d.ranked {
 		if !e.listed || s.now < e.route.haltUntil || n.mayRun && n.w.ZoneGroup && e.zone != n.group {
 			continue
 		}
-		if e.open != nil && e.open.n < n.d.bundle {
+		if e.open != nil && e.open.n < n.d.kind.BundleMax {
 			return e
 		}
-		if rideOnly || len(s.calls) >= s.slots {
-			continue
-		}
-		if e.aside {
-			// A single dispatch tries it, one that may be repeated if any comes.
-			wait := e.tryAt
-			if n.w.Repeat == SingleUse {
-				wait += 2 * lastTrial
-			}
-			if e.passed && e.calls == e.overdue && s.now >= wait && trial == nil && s.coldReady(e) {
+		switch {
+		case rideOnly || len(s.calls) >= s.slots:
+		case e.aside:
+			if e.passed && s.now >= e.tryAt && trial == nil && (s.probes || s.coldReady(e)) {
 				trial = e
 			}
-			continue
-		}
-		if float64(e.calls) < e.limit/float64(int(1)<<min(e.overdue, 8)) && e.route.ready(s.now) && s.coldReady(e) {
+		case float64(e.calls) < e.limit && e.route.ready(s.now) && s.coldReady(e):
 			return e
 		}
 	}
@@ -774,11 +780,11 @@
 }
 
 func (s *Sender) dispatch(n *notice, e *endpoint) {
-	lane := n.queue == n.d.lane
+	lane := n.queue == n.d.lane()
 	s.unqueue(n)
 	c := e.open
-	if c == nil || c.n >= n.d.bundle {
-		c = &call{e: e, sentAt: s.now, lane: lane}
+	if c == nil || c.n >= n.d.kind.BundleMax {
+		c = &call{e: e, sentAt: s.now, lane: lane, fresh: e.calls == 0 && s.now >= e.linkUntil}
 		if lane {
 			n.d.laneOut++
 		}
@@ -787,6 +793,10 @@
 		e.cold.level--
 		e.route.pace.level--
 		e.route.load.count(s.now, loadSpan)
+		if e.aside {
+			e.passed, e.tryAt = !s.probes, s.now+2*e.step
+		}
+		e.used.count(s.now, loadSpan*Time(s.senders))
 		s.calls = append(s.calls, c)
 		s.opened = append(s.opened, e)
 	} else {
@@ -799,7 +809,6 @@
 	s.h.Dispatch(n.ID, e.id, s.timeOut(n, e))
 }
 
-// timeOut ends a call whose answer is no longer to be expected, by measured times.
 func (s *Sender) timeOut(n *notice, e *endpoint) Time {
 	usual := max(2*s.prior, e.mean+patience*e.dev)
 	if n.w.Repeat == SingleUse {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -52,7 +52,6 @@
 	// 51.6    dispatch r to a
 	// 86.4    dispatch p to a
 	// 2000.0  dispatch q to a
-	// 3350.0  probe a
 }
 
 // A told wait stops first sends too; another destination goes on.
@@ -91,10 +90,11 @@
 	// 0.0     dispatch p to b
 	// 3200.0  dispatch v to a
 	// 3200.0  dispatch u to b
-	// 3950.0  dispatch t to b
-	// 4500.0  probe a
+	// 3950.0  dispatch t to a
+	// 3950.0  dispatch s to b
+	// 4550.0  probe a
+	// 5450.0  probe b
 	// 5490.1  shed p
-	// 5790.1  shed s
 }
 
 // Refusals that tell no wait, with nothing done for two seconds, halt the route for a guess that doubles.
@@ -105,7 +105,8 @@
 	// Output:
 	// 2100.0  dispatch q to a
 	// 2100.0  dispatch p to a
-	// 4150.0  dispatch p to a
+	// 3500.0  dispatch p to a
+	// 4800.0  dispatch q to a
 	// guess: 3000
 }
 
@@ -139,6 +140,7 @@
 	// 1000.0  give up once
 	// 1000.0  dispatch token to c
 	// 1157.9  dispatch token to c
+	// 3450.0  probe c
 	// 4500.0  give up token
 }
 
@@ -172,8 +174,7 @@
 	// 0.0     dispatch p to a
 	// 250.0   probe a
 	// 650.0   dispatch p to a
-	// 2700.0  dispatch q to a
-	// 4750.0  probe a
+	// 1250.0  probe a
 	// 5490.1  give up p
 	// 5490.1  give up q
 	// 8650.0  dispatch u to a
@@ -191,12 +192,11 @@
 	// 0.0     dispatch r to a
 	// 0.0     dispatch q to a
 	// 0.0     dispatch other to c
-	// 2350.0  probe a
 	// 2500.0  dispatch more to c
 	// aside: true calls out: 2
 }
 
-// Where probes are forbidden one dispatch tries the endpoint, a repeatable notice before a single-use one.
+// Where probes are forbidden a single dispatch tries the endpoint.
 func ExampleSender_trial() {
 	set := plain()
 	set.Probing = false
@@ -207,8 +207,8 @@
 	// 0.0     dispatch p to a
 	// 0.0     give up p
 	// 0.0     give up q
-	// 300.0   dispatch again to a
-	// 4300.0  dispatch once to a
+	// 250.0   dispatch once to a
+	// 850.0   dispatch again to a
 }
 
 // A refusal with the allowance used up is a limit: the endpoint stays in use, at a slower pace.
@@ -222,10 +222,10 @@
 	// Output:
 	// 0.0     dispatch q to a
 	// 0.0     dispatch p to a
-	// 2350.0  probe a
+	// 2550.0  probe a
 	// aside: false pace: 2
-	// 3012.9  dispatch q to a
-	// 3550.0  dispatch p to a
+	// 3016.2  dispatch p to a
+	// 3400.0  dispatch q to a
 }
 
 // A crowded sender sheds from the longest backlog, so a healthy destination keeps its service.
@@ -269,6 +269,7 @@
 	// 0.0     watch true
 	// 0.0     dispatch p to a
 	// 1100.0  watch true
+	// 2300.0  probe a
 	// 3100.0  watch true
 }
 
@@ -286,3 +287,50 @@
 	// 0.0     dispatch p to a
 	// 0 held 0 timers 0 calls
 }
+
+// One failure is enough where nothing was answered lately, and what may be sent once a told wait is over
+// does not pile up during it: a large fleet is told alike, and would push over what opens.
+func ExampleSender_fleet() {
+	set := plain()
+	set.Senders = 50
+	d := open(set).run(3*Second).take(1, 1, "p").ended(Errored, 0, "a", "p")
+	fmt.Println("aside:", d.s.endpoints["a"].aside)
+	d.take(1, 2, "q").ended(Full, 5*Second, "c", "q").run(5 * Second)
+	fmt.Printf("budget once open: %.2f, from %d\n", d.s.endpoints["c"].cold.level, d.s.endpoints["c"].cold.at)
+	// Output:
+	// 3000.0  dispatch p to a
+	// aside: true
+	// 3000.0  dispatch q to c
+	// 5995.1  give up p
+	// budget once open: 0.72, from 81046
+}
+
+// An idle link is closed where few own calls are due while it would last; one used often stays, until
+// connections of its kind fail; one to another zone stays.
+func ExampleSender_links() {
+	set := plain()
+	set.ConnIdle = Second
+	d := open(set)
+	d.links = true
+	d.take(0, 1, "p").ended(Done, 0, "a", "p").run(Second).take(0, 1, "q").ended(Done, 0, "a", "q")
+	d.s.kinds[0].short = 0.5
+	d.run(Second).take(0, 1, "r").ended(Done, 0, "a", "r")
+	d.s.endpoints["a"].zone = 1
+	d.take(0, 1, "s").ended(Done, 0, "a", "s")
+	// Output:
+	// 0.0     dispatch p to a
+	// 0.0     close a
+	// 1000.0  dispatch q to a
+	// 2000.0  dispatch r to a
+	// 2000.0  close a
+	// 2000.0  dispatch s to a
+}
+
+// An endpoint of another zone not seen yet ranks behind one of the own zone.
+func ExampleSender_zones() {
+	d := open(plain())
+	d.s.ListNews([]Entry{{Endpoint: "far", Destination: 1, Zone: 1}, {Endpoint: "near", Destination: 1}}, true, false)
+	d.run(50*Millisecond).take(0, 1, "p")
+	// Output:
+	// 50.0    dispatch p to near
+}
--- a/choice/host.go
+++ b/choice/host.go
@@ -86,6 +86,7 @@
 	Cancelling     bool
 	LongestReturn  Time // the longest time to come back that a shed reply may name; 0 for none
 	DialTimeout    Time
+	ConnIdle       Time // the host closes idle connections after this long
 	Turn           Time // turns come at most this often
 	AskForList     bool
 	AskWithin      Time
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -74,3 +74,14 @@
 	}
 	return max(0, 1-(1-w.LateGain)*late/float64(max(1, w.HardStop-w.ContractTime)))
 }
+
+// times are what calls took: mean and spread of late, and the mean over a long past.
+type times struct{ mean, dev, past, seen float64 }
+
+// measure weighs a new time by the gains of late and past, the first ones evenly.
+func (m *times) measure(took, late, past float64) {
+	m.seen++
+	m.dev += max(late, 1/m.seen) * (max(math.Abs(took-m.mean), m.mean/2/m.seen) - m.dev)
+	m.mean += max(late, 1/m.seen) * (took - m.mean)
+	m.past += max(past, 1/m.seen) * (took - m.past)
+}
--- a/internal/drill/settings.go
+++ b/internal/drill/settings.go
@@ -16,6 +16,7 @@
 	Balancers int
 	Bounds    struct {
 		Cancel        bool
+		ConnIdle      int64
 		DialTimeout   int64
 		MaxAttempts   int
 		MaxOpen       int
@@ -83,6 +84,7 @@
 		Notes:          b.Bounds.Peers,
 		Cancelling:     b.Bounds.Cancel,
 		DialTimeout:    up(b.Bounds.DialTimeout),
+		ConnIdle:       down(b.Bounds.ConnIdle),
 		Turn:           up(b.Quantum),
 		AskForList:     b.Discovery == "on_request",
 		AskWithin:      down(b.Rules.AskWithin),
