--- a/choice/choice.go
+++ b/choice/choice.go
@@ -34,10 +34,10 @@
 	lastGuess     = 8 * Second // longest wait assumed where refusals tell none
 	coldPart      = 1.2        // times its known part: a limit or own throughput lies under the capacity
 
-	probeFleet = 8          // senders up to which each may probe: a probe is a call, and many are a push
+	smallFleet = 8          // senders up to which each may probe and try every endpoint of a route
 	coldFloor  = 0.5        // calls a cold time that a sender may make whatever it knows
 	rideWeight = 0.15       // what a further notice in a call weighs on a cold destination
-	paceCut    = 0.7        // of the rate that met a refusal
+	paceCut    = 0.5        // of the pace or rate that met a refusal
 	loadSpan   = 2 * Second // over which sends, and in twice of it dones, are averaged
 	leastPace  = 0.6        // calls a second of all senders together
 	unpaced    = 1e6        // calls a second while no limit was met
@@ -96,7 +96,7 @@
 	load, good                          meter // own calls sent and done
 	done, peak, rating, limit           float64
 	haltUntil, lastGood, lastCut, guess Time
-	run                                 int // refusals since something was done
+	fails, run                          int // failures and refusals since something was done
 }
 
 type endpoint struct {
@@ -155,7 +155,7 @@
 		laneMax: max(1, set.Slots/laneShare),
 		maxOpen: set.MaxOpen, maxTries: set.MaxDispatches, senders: float64(set.Senders),
 		zone: set.Zone, longest: set.LongestReturn, overGain: set.OverShareGain,
-		probes: set.Probing && set.Senders <= probeFleet,
+		probes: set.Probing && set.Senders <= smallFleet,
 
 		fallRate: set.FallMultiple * coldPart, coldShare: set.ColdFrom, cold: set.Cold, keyRest: set.KeyRest,
 		held: map[NoticeID]*notice{}, timers: map[TimerID]*notice{},
@@ -163,8 +163,7 @@
 		lines: map[OrderKey]*keyLine{}, byID: map[DestinationID]*destination{},
 		endpoints: map[EndpointID]*endpoint{},
 	}
-	// A rough rating may be half too high.
-	s.ratingPart = [...]float64{RatingNone: 0, RatingRough: 1 / 1.5, RatingExact: 1}[set.Rating] / s.senders
+	s.ratingPart = [...]float64{0, 1 / 1.5, 1}[set.Rating] / s.senders // a rough one may be half too high
 	for _, k := range set.Kinds {
 		s.kinds = append(s.kinds, kind{Kind: k})
 	}
@@ -181,15 +180,12 @@
 	}
 	if set.AskForList {
 		s.askEvery = max(Second, set.AskWithin/4)
-		h.Watch(true)
-		s.askAt = s.now + s.askEvery
 	}
 	h.Timer(tick, tickTimer)
 	return s
 }
 
-// ListNews tells entries of the list: all of them, or those that changed. A stale list is what this
-// sender knew before it started; it does not show that a watch stands.
+// ListNews tells all entries of the list, or those that changed. A stale list does not show a watch.
 func (s *Sender) ListNews(entries []Entry, whole, stale bool) {
 	s.now = s.h.Now()
 	s.watching = s.watching || !stale
@@ -325,8 +321,7 @@
 		n.queue.Remove(n.elem)
 		n.queue, n.elem = nil, nil
 		if n.d.waiting--; n.d.waiting == 0 {
-			i := slices.Index(s.waiting, n.d)
-			s.waiting = slices.Delete(s.waiting, i, i+1)
+			s.waiting = slices.DeleteFunc(s.waiting, func(d *destination) bool { return d == n.d })
 		}
 	}
 }
@@ -360,7 +355,6 @@
 	return s.prior
 }
 
-// Withdrawn tells that nobody wants a notice any more; what is out of it still ends by itself.
 func (s *Sender) Withdrawn(id NoticeID) {
 	s.now = s.h.Now()
 	if n := s.held[id]; n != nil {
@@ -498,7 +492,7 @@
 		e.goodAt, r.lastGood = s.now, s.now
 		r.good.count(s.now, loadSpan*Time(s.senders))
 		r.done, r.peak = r.done+1, max(r.peak, r.good.rate)
-		e.fails, r.run, r.guess = 0, 0, 0
+		e.fails, r.fails, r.run, r.guess = 0, 0, 0, 0
 		if e.aside {
 			s.comeBack(e, c.sentAt)
 		} else if e.mean < 2*e.past {
@@ -525,9 +519,8 @@
 	return e.mean * float64(1+e.calls)
 }
 
-// refused tells a limit from a shut destination: where the report shows the allowance used up, fewer
-// calls are the answer, with more notices in each. Else a run of refusals with nothing done is an outage,
-// and where it tells no wait one is guessed, doubling. Harm: a limit that is not reported and very low.
+// refused tells a limit, which a report shows used up, from a shut destination. Where none are reported and
+// no wait is told, a run with nothing done has one guessed, doubling. Harm: a very low limit not reported.
 func (s *Sender) refused(c *call, o Outcome) {
 	e, r := c.e, c.e.route
 	r.run++
@@ -546,7 +539,7 @@
 	}
 	if s.now-r.lastCut > Second {
 		r.lastCut, r.pace.level = s.now, min(0, r.pace.level)
-		r.pace.rate = max(leastPace/s.senders, paceCut*r.load.read(s.now, loadSpan))
+		r.pace.rate = max(leastPace/s.senders, paceCut*min(r.pace.rate, r.load.read(s.now, loadSpan)))
 		if r.limit > 0 {
 			r.pace.rate = r.limit / s.senders
 		}
@@ -565,9 +558,16 @@
 
 func (s *Sender) failed(e *endpoint, limit float64) {
 	e.fails++
-	// One failure is enough where nothing was answered lately: a large fleet seldom sees two.
+	e.route.fails++
+	// One failure is enough where nothing was answered lately: a large fleet seldom sees two. Two of a
+	// route are all of it, as most outages are, or each sender would push at every endpoint in turn.
 	if e.aside || e.fails >= failsToAside || limit == 0 && s.now-e.goodAt > quietFor {
-		s.setAside(e)
+		all := s.senders > smallFleet && e.route.fails >= failsToAside && s.now-e.route.lastGood > quietFor
+		for _, other := range e.d.ranked {
+			if other == e || other.route == e.route && !other.aside && all {
+				s.setAside(other)
+			}
+		}
 	}
 }
 
@@ -585,7 +585,7 @@
 	e.tryAt = s.now + e.step/2 + s.chance.upTo(string(e.id), e.step/2)
 }
 
-// comeBack ends being set aside. An answer to a call from before shows that it was slow, not out.
+// comeBack: an answer to a call from before shows that the endpoint was slow, not out.
 func (s *Sender) comeBack(e *endpoint, sentAt Time) {
 	e.fails = 0
 	if e.aside && sentAt >= e.asideAt {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -105,8 +105,7 @@
 	// Output:
 	// 2100.0  dispatch q to a
 	// 2100.0  dispatch p to a
-	// 3500.0  dispatch p to a
-	// 4800.0  dispatch q to a
+	// 4050.0  dispatch p to a
 	// guess: 3000
 }
 
@@ -266,7 +265,6 @@
 	d.s.ListNews(nil, false, false)
 	d.run(4 * Second)
 	// Output:
-	// 0.0     watch true
 	// 0.0     dispatch p to a
 	// 1100.0  watch true
 	// 2300.0  probe a
@@ -334,3 +332,30 @@
 	// Output:
 	// 50.0    dispatch p to near
 }
+
+// In a large fleet two failures with nothing answered lately set aside all endpoints of the route, and each
+// refusal halves the pace before it: many senders that try in turn, or again and again, are a storm.
+func ExampleSender_storm() {
+	set := plain()
+	set.Senders = 50
+	d := open(set).run(3 * Second)
+	d.s.ListNews([]Entry{{Endpoint: "b", Destination: 1}, {Endpoint: "b2", Destination: 1}}, false, false)
+	d.run(50*Millisecond).take(0, 1, "p").ended(ConnectFailed, 0, "a", "p").run(300 * Millisecond)
+	d.ended(ConnectFailed, 0, "b", "p")
+	fmt.Println("aside:", d.s.endpoints["a"].aside, d.s.endpoints["b"].aside, d.s.endpoints["b2"].aside)
+	d.take(0, 2, "q")
+	for range 2 {
+		d.ended(Full, 0, "c", "q").run(4 * Second)
+		fmt.Printf("pace: %.3f\n", d.s.byID[2].route.pace.rate)
+	}
+	// Output:
+	// 3050.0  dispatch p to a
+	// 3075.7  dispatch p to b
+	// aside: true true true
+	// 3350.0  dispatch q to c
+	// 7000.0  dispatch q to c
+	// pace: 0.300
+	// 8540.1  shed p
+	// 8840.1  shed q
+	// pace: 0.164
+}
