The budget of a return rests on the own rate before the outage

It is now taken when the endpoint is set aside, over an eighth of the cold time at least; the best rate of late stays for small fleets.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -89,11 +89,10 @@
 	short   float64 // share of late connections that failed
 }
 
-// route is what limits, waits and a return from an outage are counted for: a destination, or one
-// endpoint where endpoints are routes apart.
+// route is what limits, waits and returns count for: a destination, or an endpoint that is a route apart.
 type route struct {
 	pace                                bucket
-	load, good                          meter // own calls sent and done
+	load, good                          meter // own calls sent, and done
 	done, peak, rating, limit           float64
 	haltUntil, lastGood, lastCut, guess Time
 	fails, run                          int // failures and refusals since something was done
@@ -273,9 +272,8 @@
 	s.queue(n)
 }
 
-// turnsAway keeps room below MaxOpen, against being closed to all when one destination's backlog
-// fills it: by chance one notice goes, the one of least worth that waits longest for the longest
-// backlog, or the new one, the cheaper more often. It tells whether the new one goes.
+// turnsAway keeps room below MaxOpen for all: by chance one notice goes, the cheaper more often, of least
+// worth and waiting longest in the longest backlog, or the new one. It tells whether the new one goes.
 func (s *Sender) turnsAway(n *notice) bool {
 	p := (float64(len(s.held))/float64(s.maxOpen) - crowdFrom) / (1 - crowdFrom)
 	if p <= 0 || s.chance.share(string(n.ID)) >= p*(2-n.gain/s.topGain) {
@@ -490,8 +488,9 @@
 			e.d.kind.short *= 1 - meanGain
 		}
 		e.goodAt, r.lastGood = s.now, s.now
+		r.done++
 		r.good.count(s.now, loadSpan*Time(s.senders))
-		r.done, r.peak = r.done+1, max(r.peak, r.good.rate)
+		r.peak = max(r.peak, r.good.rate)
 		e.fails, r.fails, r.run, r.guess = 0, 0, 0, 0
 		if e.aside {
 			s.comeBack(e, c.sentAt)
@@ -612,17 +611,18 @@
 
 // chill starts a cold budget: two senders may begin at once, those of a fleet each by chance.
 func (s *Sender) chill(e *endpoint, from Time) {
+	// The own rate is that before the outage: a mean with the outage in it would starve what returns.
+	e.route.peak = max(e.route.peak, e.route.done/seconds(max(s.cold/8, s.now-s.born)))
 	e.limit, e.mean, e.coldFrom, e.cold.at = firstLimit, e.past, from, from
 	e.cold.level = 1 - s.chance.share(string(e.id))*max(0, 1-2/s.senders)
 }
 
 // known is what a route takes, as this sender's part in calls a second: by report, rating or own past.
 func (s *Sender) known(r *route) float64 {
-	return max(max(leastPace, r.limit)/s.senders, r.rating, r.peak, r.done/seconds(max(s.cold, s.now-s.born)))
+	return max(max(leastPace, r.limit)/s.senders, r.rating, r.peak)
 }
 
-// coldReady bounds all that goes to an endpoint, probes too, while it is set aside or may be cold:
-// against pushing over what returns.
+// coldReady bounds all that goes to what is set aside or may be cold, against pushing it over.
 func (s *Sender) coldReady(e *endpoint) bool {
 	if !e.aside && s.now >= e.coldFrom+s.cold {
 		return true
@@ -692,8 +692,7 @@
 	}
 }
 
-// settled ranks a destination's endpoints, probes what is aside, drops what is gone; it tells whether
-// nothing is left to come back for.
+// settled renews a destination; it tells whether nothing is left to come back for.
 func (s *Sender) settled(d *destination) bool {
 	d.ranked = slices.DeleteFunc(d.ranked, func(e *endpoint) bool {
 		if e.listed || e.calls > 0 || e.probing || s.now < max(e.coldFrom+s.cold, e.route.haltUntil) {
