--- a/choice/choice.go
+++ b/choice/choice.go
@@ -42,8 +42,7 @@
 	leastPace  = 0.6        // calls a second of all senders together
 	unpaced    = 1e6        // calls a second while no limit was met
 	paceGrow   = 0.05       // a second
-	closeMore  = 30.0       // and for each share of connections that failed
-	closeUnder = 0.3        // own calls to come while a link would idle, below which it is closed
+	closeMore  = 30.0       // own calls due while a link would idle, a share of failures, to keep it
 	crowdFrom  = 0.85       // share of MaxOpen from which notices are turned away by chance
 )
 
@@ -146,7 +145,6 @@
 	opened    []*endpoint                    // emptied at each turn's end
 }
 
-// Start begins an empty sender. Nothing of an earlier life reaches it.
 func Start(h Host, id SenderID, seed int64, set Settings) *Sender {
 	s := &Sender{
 		h: h, chance: newChance(id, seed), now: h.Now(), born: h.Now(),
@@ -461,10 +459,10 @@
 func (s *Sender) hangUp(c *call) {
 	c.e.calls--
 	c.e.linkUntil = s.now + s.connIdle
-	// Idle links of a large fleet fill a destination's table: the more connections fail, the oftener one
-	// must be used to stay. Those to other zones are dear to open and stay.
+	// Idle links of a fleet fill a destination's table: the more connections of its kind fail, the oftener
+	// one must be used to stay. Those to other zones are dear to open and stay.
 	if use := c.e.used.read(s.now, loadSpan*Time(s.senders)) * seconds(s.connIdle); c.e.calls == 0 &&
-		c.e.d.waiting == 0 && c.e.zone == s.zone && use < closeUnder+closeMore*c.e.d.kind.short {
+		c.e.d.waiting == 0 && c.e.zone == s.zone && use < closeMore*c.e.d.kind.short {
 		s.h.CloseIdle(c.e.id)
 		c.e.linkUntil = s.now
 	}
@@ -593,8 +591,7 @@
 	e.aside = false
 }
 
-// halt heeds a told wait, jittered so that senders told alike do not return in step. Of a shut
-// destination all endpoints are cold when it opens, whatever they answered before.
+// halt heeds a told wait, jittered so that senders told alike do not return in step.
 func (s *Sender) halt(e *endpoint, wait Time, shut bool) {
 	end := s.now + wait + s.chance.upTo(string(e.id), min(wait/8, tick*4))
 	e.route.haltUntil = max(e.route.haltUntil, end)
@@ -617,7 +614,7 @@
 	e.cold.level = 1 - s.chance.share(string(e.id))*max(0, 1-2/s.senders)
 }
 
-// known is what a route takes, as this sender's part in calls a second: by report, rating or own past.
+// known is a route's limit as this sender's part in calls a second: by report, rating or own past.
 func (s *Sender) known(r *route) float64 {
 	return max(max(leastPace, r.limit)/s.senders, r.rating, r.peak)
 }
@@ -762,13 +759,17 @@
 		if !e.listed || s.now < e.route.haltUntil || n.mayRun && n.w.ZoneGroup && e.zone != n.group {
 			continue
 		}
-		if e.open != nil && e.open.n < n.d.kind.BundleMax {
+		if e.open != nil && !e.aside && e.open.n < n.d.kind.BundleMax {
 			return e
 		}
 		switch {
 		case rideOnly || len(s.calls) >= s.slots:
 		case e.aside:
-			if e.passed && s.now >= e.tryAt && trial == nil && (s.probes || s.coldReady(e)) {
+			wait := e.tryAt
+			if n.w.Repeat == SingleUse {
+				wait += 2 * lastTrial
+			}
+			if e.passed && s.now >= wait && trial == nil && (s.probes || s.coldReady(e)) {
 				trial = e
 			}
 		case float64(e.calls) < e.limit && e.route.ready(s.now) && s.coldReady(e):
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -32,7 +32,6 @@
 	// timer	sender-0	5590100000	1
 	// submit_to	sender-0	t/a	4400000000	endpoint_a
 	// done
-	// free_links	sender-0	endpoint_a
 	// done
 }
 
