A return counts from midway between the last failure and the first answer

A large fleet's sender tries a destination that is out only every ten to thirty seconds, so that its first answer comes long after the return, and the budget then grew from the lowest share once more. It returned at some time in between: the budget now grows from the middle, which errs as often one way as the other over a fleet. Harm: a trial that happens to be the first after a long gap takes a fresh return for an older one; the fleet's other senders are then still set aside.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -99,17 +99,17 @@
 
 type endpoint struct {
 	times
-	id                                                EndpointID
-	d                                                 *destination
-	route                                             *route
-	zone                                              ZoneNo
-	calls, fails                                      int
-	limit                                             float64
-	used                                              meter
-	goodAt, asideAt, step, tryAt, coldFrom, linkUntil Time
-	listed, aside, passed, probing                    bool
-	cold                                              bucket
-	open                                              *call
+	id                                                        EndpointID
+	d                                                         *destination
+	route                                                     *route
+	zone                                                      ZoneNo
+	calls, fails                                              int
+	limit                                                     float64
+	used                                                      meter
+	goodAt, failAt, asideAt, step, tryAt, coldFrom, linkUntil Time
+	listed, aside, passed, probing                            bool
+	cold                                                      bucket
+	open                                                      *call
 }
 
 // call is one slot: the notices sent to one endpoint in one turn, until all have their outcomes.
@@ -578,15 +578,15 @@
 		e.aside, e.asideAt, e.step = true, s.now, firstTrial
 		s.chill(e, max(s.now, e.route.haltUntil))
 	}
-	e.passed = !s.probes
+	e.failAt, e.passed = s.now, !s.probes
 	e.tryAt = s.now + e.step/2 + s.chance.upTo(string(e.id), e.step/2)
 }
 
-// comeBack: an answer to a call from before shows that the endpoint was slow, not out.
 func (s *Sender) comeBack(e *endpoint, sentAt Time) {
 	e.fails = 0
 	if e.aside && sentAt >= e.asideAt {
-		s.chill(e, s.now)
+		// It returned at some time since the last failure; an answer to a call from before shows no outage.
+		s.chill(e, (e.failAt+s.now)/2)
 	}
 	e.aside = false
 }
@@ -610,7 +610,7 @@
 func (s *Sender) chill(e *endpoint, from Time) {
 	// The own rate is that before the outage: a mean with the outage in it would starve what returns.
 	e.route.peak = max(e.route.peak, e.route.done/seconds(max(s.cold/8, s.now-s.born)))
-	e.limit, e.mean, e.coldFrom, e.cold.at = firstLimit, e.past, from, from
+	e.limit, e.mean, e.coldFrom, e.cold.at = firstLimit, e.past, from, max(from, s.now)
 	e.cold.level = 1 - s.chance.share(string(e.id))*max(0, 1-2/s.senders)
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -356,3 +356,18 @@
 	// 8840.1  shed q
 	// pace: 0.164
 }
+
+// A return counts from midway between the last failure seen and the first answer: in a large fleet the two lie
+// far apart, and counting from the answer would starve what has long been back.
+func ExampleSender_midway() {
+	set := plain()
+	set.Senders = 50
+	d := open(set).run(3*Second).take(1, 1, "p").ended(Errored, 0, "a", "p").run(Second)
+	d.s.endpoints["a"].cold.level = 1
+	d.take(0, 1, "q").ended(Done, 0, "a", "q")
+	fmt.Println("cold from:", d.s.endpoints["a"].coldFrom)
+	// Output:
+	// 3000.0  dispatch p to a
+	// 4000.0  dispatch q to a
+	// cold from: 35000
+}
