A sender may make one call a cold time whatever it knows, for half a one

At a destination that a sender of a large fleet rarely sends to, its own part of what is known allows a trial in minutes; half a call a cold time was the least, and many that had long returned were not found back before the notices' hard stops. Harm: with very many senders that all saw an outage of a small destination the sum passes what it takes; those that did not see it then send more.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,7 @@
 	coldPart      = 1.2        // times its known part: a limit or own throughput lies under the capacity
 
 	smallFleet = 8          // senders up to which each may probe and try every endpoint of a route
-	coldFloor  = 0.5        // calls a cold time that a sender may make whatever it knows
+	coldFloor  = 1.0        // calls a cold time that a sender may make whatever it knows
 	rideWeight = 0.15       // what a further notice in a call weighs on a cold destination
 	paceCut    = 0.5        // of the pace or rate that met a refusal
 	loadSpan   = 2 * Second // over which sends, and in twice of it dones, are averaged
