--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,7 +26,7 @@
 	firstLimit    = 2.0              // calls out that an unknown or returning endpoint may hold
 	failsToAside  = 2                // failures in a row
 	refusedRun    = 2                // refusals in a row, with nothing done for quietFor, mean shut
-	quietFor      = 2000 * Millisecond
+	quietFor      = 2 * Second
 	usedUp        = 0.3                // share of an allowance left up to which it explains a refusal
 	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
 	firstTrial    = 300 * Millisecond  // first pause before an endpoint set aside is tried
@@ -51,17 +51,16 @@
 // notice is one held notice; it leaves Sender.held once it is over and nothing of it is out.
 type notice struct {
 	Notice
-	w                             *Workload
-	d                             *destination
-	out                           *call
-	queue                         *list.List
-	elem                          *list.Element
-	line                          *keyLine
-	gain                          float64
-	tries                         int
-	born, sentAt, mayRunAt, dueAt Time
-	group                         ZoneNo
-	mayRun, refused, over         bool
+	w                   *Workload
+	d                   *destination
+	out                 *call
+	queue               *list.List
+	elem                *list.Element
+	line                *keyLine
+	gain                float64
+	tries               int
+	born, sentAt, dueAt Time
+	refused, over       bool
 }
 
 // keyLine holds the notices of one order key in the order taken; dropped when empty and rested.
@@ -169,8 +168,7 @@
 		shortest = min(shortest, max(1, w.ContractTime))
 		s.topGain = max(s.topGain, w.Gain)
 	}
-	s.base = max(1, Time(baseShare*float64(shortest)))
-	s.cap = max(s.base, Time(capShare*float64(shortest)))
+	s.base, s.cap = max(1, Time(baseShare*float64(shortest))), max(1, Time(capShare*float64(shortest)))
 	s.prior = max(1, priorShare*float64(shortest))
 	for _, q := range set.Quotas {
 		s.shares = append(s.shares, bucket{q / s.senders, max(1, q/s.senders), s.now})
@@ -254,7 +252,7 @@
 	}
 	s.held[n.ID] = n
 	n.d.held++
-	if s.now > s.lastSend(n) || s.turnsAway(n) {
+	if s.now > s.lastSend(n) || n.MayRun && w.Repeat == SingleUse || s.turnsAway(n) {
 		s.finish(n)
 		return
 	}
@@ -332,8 +330,8 @@
 func (s *Sender) lastSend(n *notice) Time {
 	usual := min(s.usual(n.d), float64(n.w.HardStop)/4)
 	last := n.HardStop - Time(math.Ceil(usual)) - 2*s.turn
-	if n.mayRun && n.w.Repeat == Tokened {
-		last = min(last, n.mayRunAt+n.w.RepeatWindow-s.turn)
+	if n.MayRun && n.w.Repeat == Tokened {
+		last = min(last, n.RanAt+n.w.RepeatWindow-s.turn)
 	}
 	return last
 }
@@ -364,7 +362,7 @@
 func (s *Sender) finish(n *notice) {
 	n.over = true
 	s.unqueue(n)
-	if n.mayRun || n.out != nil {
+	if n.MayRun || n.out != nil {
 		s.h.GiveUp(n.ID)
 	} else {
 		s.h.Shed(n.ID, min(s.longest, max(s.base, s.haltEnd(n.d)-s.now)))
@@ -428,8 +426,8 @@
 	}
 	switch o.Result {
 	case Errored, TimedOut, Reset, Cancelled:
-		if !n.mayRun {
-			n.mayRun, n.mayRunAt, n.group = true, n.sentAt, c.e.zone
+		if !n.MayRun {
+			n.MayRun, n.RanAt, n.RanIn = true, n.sentAt, c.e.zone
 		}
 		if n.line != nil && o.Result != Errored {
 			n.line.restUntil = s.now + s.keyRest
@@ -446,7 +444,7 @@
 // again keeps the ordinary path of a retry: capped doubling ceilings, full jitter.
 func (s *Sender) again(n *notice) {
 	last := s.lastSend(n)
-	if n.tries >= s.maxTries || n.mayRun && n.w.Repeat == SingleUse || s.now >= last || s.haltEnd(n.d) > last {
+	if n.tries >= s.maxTries || n.MayRun && n.w.Repeat == SingleUse || s.now >= last || s.haltEnd(n.d) > last {
 		s.finish(n)
 		return
 	}
@@ -488,8 +486,7 @@
 		e.goodAt, r.lastGood = s.now, s.now
 		r.done++
 		r.good.count(s.now, loadSpan*Time(s.senders))
-		r.peak = max(r.peak, r.good.rate)
-		e.fails, r.fails, r.run, r.guess = 0, 0, 0, 0
+		r.peak, e.fails, r.fails, r.run, r.guess = max(r.peak, r.good.rate), 0, 0, 0, 0
 		if e.aside {
 			s.comeBack(e, c.sentAt)
 		} else if e.mean < 2*e.past {
@@ -507,8 +504,7 @@
 	}
 }
 
-// busy is the time after which one more call would be answered, were they served one by one. An endpoint
-// of another zone not seen yet ranks behind: its distance is not in the prior.
+// busy is when one more call would be answered, one by one. A far endpoint not seen yet ranks behind.
 func (s *Sender) busy(e *endpoint) float64 {
 	if e.seen == 0 && e.zone != s.zone {
 		return 2 * e.mean
@@ -728,8 +724,7 @@
 	s.opened = s.opened[:0]
 }
 
-// next finds the notice to send next: the fresh tier before any retry, and in a tier the newest of
-// each destination and workload by gain for the slot time it should take.
+// next takes the fresh tier before any retry; in a tier each queue's newest, by gain for the slot time taken.
 func (s *Sender) next() (best *notice, to *endpoint) {
 	for tier := range 2 {
 		top := 0.0
@@ -753,10 +748,16 @@
 	return nil, nil
 }
 
+// Open tells whether a dispatch may still leave once its connection is up: a wait or a drain may have come.
+func (s *Sender) Open(id EndpointID) bool {
+	e := s.endpoints[id]
+	return e != nil && e.listed && s.h.Now() >= e.route.haltUntil
+}
+
 func (s *Sender) place(n *notice, rideOnly bool) *endpoint {
 	var trial *endpoint
 	for _, e := range n.d.ranked {
-		if !e.listed || s.now < e.route.haltUntil || n.mayRun && n.w.ZoneGroup && e.zone != n.group {
+		if !e.listed || s.now < e.route.haltUntil || n.MayRun && n.w.ZoneGroup && e.zone != n.RanIn {
 			continue
 		}
 		if e.open != nil && !e.aside && e.open.n < n.d.kind.BundleMax {
--- a/choice/desk_test.go
+++ b/choice/desk_test.go
@@ -89,17 +89,13 @@
 	d.tries[n]++
 	d.print("dispatch %s to %s", n, to)
 }
-func (d *desk) Shed(n NoticeID, in Time)    { d.print("shed %s", n) }
-func (d *desk) GiveUp(n NoticeID)           { d.print("give up %s", n) }
-func (d *desk) Cancel(n NoticeID, no int)   { d.print("cancel %s", n) }
-func (d *desk) Probe(e EndpointID)          { d.print("probe %s", e) }
-func (d *desk) Note(to PeerNo, body []byte) { d.print("note %q", body) }
-func (d *desk) Watch(on bool)               { d.print("watch %v", on) }
-func (d *desk) Fetch()                      { d.print("fetch") }
+func (d *desk) Shed(n NoticeID, in Time) { d.print("shed %s", n) }
+func (d *desk) GiveUp(n NoticeID)        { d.print("give up %s", n) }
+func (d *desk) Probe(e EndpointID)       { d.print("probe %s", e) }
+func (d *desk) Watch(on bool)            { d.print("watch %v", on) }
 func (d *desk) CloseIdle(e EndpointID) {
 	if d.links {
 		d.print("close %s", e)
 	}
 }
-func (d *desk) Log(text string)           { d.print("log %s", text) }
 func (d *desk) Timer(in Time, id TimerID) { d.timers = append(d.timers, deskTimer{d.clock + in, id}) }
--- a/choice/host.go
+++ b/choice/host.go
@@ -29,9 +29,6 @@
 // NoKey stands for a notice without an order key.
 const NoKey OrderKey = -1
 
-// EveryPeer addresses a note to all other senders.
-const EveryPeer PeerNo = -1
-
 // Repeat says what a workload allows to happen twice.
 type Repeat int
 
@@ -127,6 +124,10 @@
 	Key         OrderKey
 	HardStop    Time // on the clock
 	Destination DestinationID
+	// After a restart: a dispatch of an earlier life may have run, when it was sent, and to which zone.
+	MayRun bool
+	RanAt  Time
+	RanIn  ZoneNo
 }
 
 // Result is how a dispatch or a probe ended.
@@ -169,12 +170,8 @@
 	Dispatch(n NoticeID, to EndpointID, timeOut Time)
 	Shed(n NoticeID, comeBackIn Time) // 0 names no time
 	GiveUp(n NoticeID)
-	Cancel(n NoticeID, dispatch int)
 	Probe(e EndpointID)
-	Note(to PeerNo, body []byte)
 	Watch(on bool)
-	Fetch()
 	CloseIdle(e EndpointID)
 	Timer(in Time, id TimerID)
-	Log(text string)
 }
--- /dev/null
+++ b/cmd/flaxcove/main.go
@@ -0,0 +1,91 @@
+// Flaxcove is the gateway's command line.
+//
+// This file owns the sub-commands, the process's limits and its signals. It must never decide anything about a
+// notice.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"flaxcove/internal/config"
+	"flaxcove/internal/sender"
+)
+
+// version is set by the build where it is known: -ldflags "-X main.version=...".
+var version = "development"
+
+// heapShare of the memory limit is left to the collector; stacks, sockets and the program itself need the rest.
+const heapShare = 0.6
+
+func main() {
+	app := &cli.Command{
+		Name:  "flaxcove",
+		Usage: "take notices from clients and deliver them to partners' endpoints",
+		Commands: []*cli.Command{
+			{Name: "serve", Usage: "run one sender, as EDGE_CONFIG and the other EDGE_ variables say", Action: serve},
+			{Name: "check", Usage: "read the configuration and say what is wrong with it", Action: check},
+			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
+				_, err := fmt.Println("flaxcove", version, runtime.Version())
+				return err
+			}},
+		},
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "flaxcove:", err)
+		os.Exit(1)
+	}
+}
+
+func check(context.Context, *cli.Command) error {
+	c, err := config.Load(os.Getenv)
+	if err == nil {
+		fmt.Printf("%s: %d endpoints known, %d workloads, %d slots\n", c.Name, len(c.Known.Servers), len(c.Workloads), c.Settings.Slots)
+	}
+	return err
+}
+
+func serve(context.Context, *cli.Command) error {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(heapShare * float64(cfg.Limits.MemoryMB<<20)))
+	log, err := logger()
+	if err != nil {
+		return err
+	}
+	defer log.Sync()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	s, err := sender.Start(cfg, log)
+	if err != nil {
+		return err
+	}
+	go func() {
+		<-signals
+		s.Drain()
+	}()
+	log.Info("serving", zap.String("name", cfg.Name), zap.String("listen", s.Addr()), zap.String("version", version))
+	s.Run()
+	return nil
+}
+
+// logger writes a line of JSON for each entry to standard error, and drops none.
+func logger() (*zap.Logger, error) {
+	c := zap.NewProductionConfig()
+	c.Sampling = nil
+	c.DisableCaller, c.DisableStacktrace = true, true
+	c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	return c.Build()
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,137 @@
+// Package config reads what a sender is told: the environment, the configuration file and the settings in it.
+//
+// It owns the checks of both: whatever passes can be run with. It must never guess at a value that is there but
+// wrong; it names the field instead. settings.go turns the settings object, which the bench hands over too, into
+// what the module takes.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"flaxcove/choice"
+	"flaxcove/internal/directory"
+)
+
+// Config is all that one sender is told.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	State     string // the folder that lasts
+	Seed      int64
+	Limits    Limits
+	Known     directory.List
+	Workloads map[string]choice.WorkloadNo // by name
+	Zones     map[string]choice.ZoneNo
+	Kinds     map[string]choice.KindNo
+	Reports   []string // fields of load reports
+	Settings  choice.Settings
+}
+
+// Limits bind all that the program holds.
+type Limits struct {
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+	DiskMB   float64 `json:"disk_mb"`
+}
+
+type file struct {
+	Name      string         `json:"name"`
+	Listen    string         `json:"listen"`
+	Discovery string         `json:"discovery"`
+	State     string         `json:"state"`
+	Seed      string         `json:"seed"`
+	Limits    Limits         `json:"limits"`
+	Known     directory.List `json:"known"`
+	Settings  *Boot          `json:"settings"`
+}
+
+// Load reads the file that EDGE_CONFIG names; the other EDGE_ variables go before what it says.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("EDGE_CONFIG")
+	if path == "" {
+		return nil, errors.New("EDGE_CONFIG: missing; it names the configuration file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	f := file{Limits: Limits{MemoryMB: 192, Sockets: 1024, DiskMB: 8}}
+	if err := json.Unmarshal(text, &f); err != nil {
+		var kind *json.UnmarshalTypeError
+		if errors.As(err, &kind) {
+			return nil, fmt.Errorf("%s: field %s: %s does not fit", path, kind.Field, kind.Value)
+		}
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	c, err := f.check(getenv)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func (f *file) check(getenv func(string) string) (*Config, error) {
+	c := &Config{Limits: f.Limits, Known: f.Known, Workloads: map[string]choice.WorkloadNo{}}
+	for _, v := range []struct {
+		to                    *string
+		variable, field, told string
+		address               bool
+	}{
+		{&c.Name, "EDGE_NAME", "name", f.Name, false},
+		{&c.Listen, "EDGE_LISTEN", "listen", f.Listen, true},
+		{&c.Discovery, "EDGE_DISCOVERY", "discovery", f.Discovery, true},
+		{&c.State, "EDGE_STATE", "state", f.State, false},
+	} {
+		if *v.to = getenv(v.variable); *v.to == "" {
+			*v.to = v.told
+		}
+		if *v.to == "" {
+			return nil, fmt.Errorf("field %s: missing, and %s is not set", v.field, v.variable)
+		}
+		if v.address {
+			if _, _, err := net.SplitHostPort(*v.to); err != nil {
+				return nil, fmt.Errorf("field %s: %w", v.field, err)
+			}
+		}
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil && f.Seed != "" {
+		return nil, fmt.Errorf("field seed: %q is not a hexadecimal number of 64 bits", f.Seed)
+	}
+	c.Seed = int64(seed)
+	switch {
+	case f.Limits.MemoryMB < 32:
+		return nil, fmt.Errorf("field limits.memory_mb: %d is under 32", f.Limits.MemoryMB)
+	case f.Limits.Sockets < 64:
+		return nil, fmt.Errorf("field limits.sockets: %d is under 64", f.Limits.Sockets)
+	case f.Limits.DiskMB < 0.25:
+		return nil, fmt.Errorf("field limits.disk_mb: %g is under 0.25", f.Limits.DiskMB)
+	}
+	if f.Settings == nil {
+		return nil, errors.New("field settings: missing")
+	}
+	if c.Settings, err = f.Settings.Settings(); err != nil {
+		return nil, fmt.Errorf("field settings: %w", err)
+	}
+	if c.Settings.Slots == 0 {
+		return nil, errors.New("field settings: extra.callsOut: missing")
+	}
+	for i, class := range f.Settings.Classes {
+		c.Workloads[class.Name] = choice.WorkloadNo(i)
+	}
+	c.Zones, c.Kinds = map[string]choice.ZoneNo{}, map[string]choice.KindNo{}
+	for i, zone := range f.Settings.Zones {
+		c.Zones[zone] = choice.ZoneNo(i)
+	}
+	for i, kind := range f.Settings.MachineTypes {
+		c.Kinds[kind] = choice.KindNo(i)
+	}
+	c.Reports = f.Settings.Stats.Fields
+	return c, nil
+}
--- a/internal/drill/settings.go
+++ b/internal/config/settings.go
@@ -1,4 +1,4 @@
-package drill
+package config
 
 import (
 	"errors"
@@ -8,8 +8,9 @@
 	"flaxcove/choice"
 )
 
-// bootInfo names the keys that are read; the others are skipped.
-type bootInfo struct {
+// Boot is the settings object, on the bench and on sockets alike. It names the keys that are read; the others
+// are skipped.
+type Boot struct {
 	Accounts []struct {
 		QuotaRps float64
 	}
@@ -26,6 +27,7 @@
 		RetryAfter    bool
 	}
 	Classes []struct {
+		Name         string
 		Aim          int64
 		Deadline     int64
 		Group        string
@@ -59,8 +61,27 @@
 	Stats   struct{ Fields []string }
 	Weights string
 	Zone    int
+	Zones   []string
 }
 
+// perTenth is the nanoseconds in one of choice.Time's tenths of a millisecond.
+const perTenth = 100_000
+
+// Down rounds nanoseconds down to choice.Time, for spans that must not be outstayed.
+func Down(ns int64) choice.Time {
+	t := ns / perTenth
+	if ns%perTenth < 0 {
+		t--
+	}
+	return choice.Time(t)
+}
+
+// Up rounds up, for spans that must be waited out.
+func Up(ns int64) choice.Time { return -Down(-ns) }
+
+// Nanoseconds is the way back.
+func Nanoseconds(t choice.Time) int64 { return int64(t) * perTenth }
+
 var repeats = map[string]choice.Repeat{
 	"pure": choice.Replayable, "token": choice.Tokened, "side_effect": choice.SingleUse,
 }
@@ -70,7 +91,7 @@
 	"rough": choice.RatingRough, "nominal": choice.RatingExact, "live": choice.RatingRough,
 }
 
-func (b *bootInfo) settings() (choice.Settings, error) {
+func (b *Boot) Settings() (choice.Settings, error) {
 	s := choice.Settings{
 		Senders:        max(1, b.Balancers),
 		Number:         choice.PeerNo(b.SlotNo),
@@ -83,16 +104,16 @@
 		Probing:        b.Bounds.Probing,
 		Notes:          b.Bounds.Peers,
 		Cancelling:     b.Bounds.Cancel,
-		DialTimeout:    up(b.Bounds.DialTimeout),
-		ConnIdle:       down(b.Bounds.ConnIdle),
-		Turn:           up(b.Quantum),
+		DialTimeout:    Up(b.Bounds.DialTimeout),
+		ConnIdle:       Down(b.Bounds.ConnIdle),
+		Turn:           Up(b.Quantum),
 		AskForList:     b.Discovery == "on_request",
-		AskWithin:      down(b.Rules.AskWithin),
+		AskWithin:      Down(b.Rules.AskWithin),
 		FallMultiple:   b.Rules.FallMultiple,
-		Fall:           up(b.Rules.Fall),
+		Fall:           Up(b.Rules.Fall),
 		ColdFrom:       b.Rules.ColdFrom,
-		Cold:           up(b.Rules.Cold),
-		KeyRest:        up(b.Rules.KeyRest),
+		Cold:           Up(b.Rules.Cold),
+		KeyRest:        Up(b.Rules.KeyRest),
 		RefusedPrice:   b.Extra.TurnedAwayPrice,
 		HandshakePrice: b.Deductions.Handshake,
 	}
@@ -110,7 +131,7 @@
 		s.MaxDispatches = math.MaxInt
 	}
 	if b.Bounds.RetryAfter {
-		s.LongestReturn = down(b.Bounds.MaxRetryAfter)
+		s.LongestReturn = Down(b.Bounds.MaxRetryAfter)
 	}
 	for i, c := range b.Classes {
 		repeat, known := repeats[c.Idempotency]
@@ -123,9 +144,9 @@
 		s.Workloads = append(s.Workloads, choice.Workload{
 			Repeat:       repeat,
 			ZoneGroup:    c.Group == "zone" || c.Group == "cell",
-			RepeatWindow: down(c.RepeatWindow),
-			ContractTime: down(c.Aim),
-			HardStop:     down(c.Deadline),
+			RepeatWindow: Down(c.RepeatWindow),
+			ContractTime: Down(c.Aim),
+			HardStop:     Down(c.Deadline),
 			Gain:         c.Worth,
 			LateGain:     c.LateWorth,
 			ByArrival:    c.ByArrival,
--- a/internal/drill/events.go
+++ b/internal/drill/events.go
@@ -5,21 +5,9 @@
 	"fmt"
 
 	"flaxcove/choice"
+	"flaxcove/internal/config"
 )
 
-// perTenth is the wire's nanoseconds in one of choice.Time's tenths of a millisecond.
-const perTenth = 100_000
-
-func down(ns int64) choice.Time {
-	t := ns / perTenth
-	if ns%perTenth < 0 {
-		t--
-	}
-	return choice.Time(t)
-}
-
-func up(ns int64) choice.Time { return -down(-ns) }
-
 var events = map[string]func(*seat, *parts) error{
 	"start":         (*seat).start,
 	"targets":       (*seat).targets,
@@ -70,11 +58,11 @@
 	if p.err != nil {
 		return p.err
 	}
-	var b bootInfo
+	var b config.Boot
 	if err := json.Unmarshal([]byte(text), &b); err != nil {
 		return fmt.Errorf("field bootInfo: %s", err)
 	}
-	set, err := b.settings()
+	set, err := b.Settings()
 	if err != nil {
 		return fmt.Errorf("field bootInfo: %w", err)
 	}
@@ -110,7 +98,7 @@
 	n.Workload = choice.WorkloadNo(p.whole("cls"))
 	n.Account = choice.AccountNo(p.wholeOr("project", 0))
 	n.Key = choice.OrderKey(p.wholeOr("pathKey", int64(choice.NoKey)))
-	n.HardStop = down(p.whole("dropDead"))
+	n.HardStop = config.Down(p.whole("dropDead"))
 	p.wholeOr("effort", 0)
 	n.Destination = choice.DestinationID(p.realOr("destination", 0))
 	p.wholeOr("options", 0)
@@ -147,7 +135,7 @@
 
 func (s *seat) finished(p *parts) error {
 	o := choice.Outcome{Notice: choice.NoticeID(p.text("rid"))}
-	o.Took = up(p.wholeOr("duration", 0))
+	o.Took = config.Up(p.wholeOr("duration", 0))
 	o.Dispatch = int(p.whole("shot"))
 	o.Endpoint = choice.EndpointID(p.text("endpoint"))
 	o.Final = p.truth("terminal")
--- /dev/null
+++ b/internal/sender/admit.go
@@ -0,0 +1,422 @@
+package sender
+
+// This file admits: it owns the commands clients may send, the table of what is owed, and the journal's records.
+// It must never answer +OK before the record is written, never write two records for one id, and never refuse
+// what it has once taken on: from then on only book.go may end it.
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"flaxcove/choice"
+	"flaxcove/internal/config"
+	"flaxcove/internal/journal"
+	"flaxcove/internal/resp"
+)
+
+const (
+	maxID      = 128
+	maxHold    = 24 * 60 * 60 * 1000 // milliseconds that a notice may ask for
+	busyFor    = 500                 // milliseconds that a refusal names where the module names none
+	endRecords = 256                 // bytes of the later records of one notice, at most
+	fillShare  = 0.45                // of the disk for the file: a rewriting has as much again beside it
+	liveShare  = 0.8                 // of the file for what is owed, or each turn would rewrite it
+)
+
+// notice is one that was handed in and has not ended. It leaves Sender.owed when nothing more is owed for it.
+type notice struct {
+	choice.Notice
+	key      string // the client's own, passed on in bulk calls
+	workload string
+	body     []byte
+	reply    *reply // nil once the client has its answer
+	lasting  bool   // its record is written, or waits in the batch
+	tries    int    // dispatches of this process
+	out      *call
+	sure     bool // a dispatch that may have run is on record
+	ending   ending
+	size     int64
+}
+
+type admission struct {
+	journal  *journal.Journal
+	owed     map[choice.NoticeID]*notice
+	order    []*notice // those owed in the order taken on, with ended ones among them until a rewriting
+	admitted []*notice // of this turn
+	live     int64     // bytes that a rewriting would keep, at most
+}
+
+// told is a notice as the module takes it.
+func (n *notice) told() choice.Notice { return n.Notice }
+
+func (s *Sender) command(c *client, args [][]byte) {
+	r := s.expect(c)
+	name := ""
+	if len(args) > 0 {
+		name = string(args[0])
+	}
+	switch {
+	case equalFold(name, "OUT.ADD"):
+		s.add(r, args)
+	case equalFold(name, "PING") && len(args) == 2:
+		s.answer(r, resp.AppendBulk(nil, args[1]))
+	case equalFold(name, "PING"):
+		s.answer(r, resp.AppendSimple(nil, "PONG"))
+	case equalFold(name, "INFO"):
+		var text []byte
+		for _, line := range s.Counters() {
+			text = append(append(text, line...), "\r\n"...)
+		}
+		s.answer(r, resp.AppendBulk(nil, text))
+	default:
+		s.counts.badCommands++
+		s.answer(r, resp.AppendError(nil, "ERR unknown command"))
+	}
+}
+
+func equalFold(a, b string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range len(a) {
+		c := a[i]
+		if 'a' <= c && c <= 'z' {
+			c -= 'a' - 'A'
+		}
+		if c != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Sender) add(r *reply, args [][]byte) {
+	s.counts.handedIn++
+	n, err := s.read(args)
+	if err != nil {
+		s.counts.badCommands++
+		s.answer(r, resp.AppendError(nil, "ERR "+err.Error()))
+		return
+	}
+	if old := s.owed[n.ID]; old != nil {
+		// A client that saw its connection end sends the same once more: it is taken on already.
+		if old.reply == nil {
+			s.answer(r, resp.AppendSimple(nil, "OK"))
+		} else {
+			s.answer(r, resp.AppendError(nil, "ERR handed in twice at once"))
+		}
+		return
+	}
+	if len(s.owed) >= s.cfg.Settings.MaxOpen || !s.room(n) || s.failing || s.late() {
+		s.refuse(r, busyFor)
+		return
+	}
+	n.reply = r
+	s.owed[n.ID] = n
+	s.admitted = append(s.admitted, n)
+	s.module.Taken(n.told())
+}
+
+// late tells whether a planned end is too near to begin anything.
+func (s *Sender) late() bool { return !s.drainAt.IsZero() && s.sinceDrain() >= sendFor }
+
+func (s *Sender) refuse(r *reply, ms int64) {
+	s.counts.refused++
+	s.answer(r, resp.AppendError(nil, "BUSY "+strconv.FormatInt(max(1, ms), 10)))
+}
+
+func (s *Sender) read(args [][]byte) (*notice, error) {
+	if len(args) != 5 {
+		return nil, fmt.Errorf("OUT.ADD takes a key, an id, a list and a body, not %d arguments", len(args)-1)
+	}
+	n := &notice{key: string(args[1]), body: args[4]}
+	n.ID, n.Key = choice.NoticeID(args[2]), choice.NoKey
+	if !token(args[1]) || !token(args[2]) {
+		return nil, errors.New("key and id: up to 128 visible characters each")
+	}
+	if k, err := strconv.ParseUint(n.key, 16, 63); err == nil && k != 0 {
+		n.Key = choice.OrderKey(k)
+	}
+	hold, dest := -1.0, -1.0
+	for _, pair := range splitPairs(string(args[3])) {
+		switch pair[0] {
+		case "c":
+			n.workload = pair[1]
+		case "d":
+			hold = number(pair[1])
+		case "dest":
+			dest = number(pair[1])
+		}
+	}
+	w, known := s.cfg.Workloads[n.workload]
+	switch {
+	case !known:
+		return nil, fmt.Errorf("c: no class %q", n.workload)
+	case hold <= 0 || hold > maxHold:
+		return nil, errors.New("d: milliseconds, above 0 and within a day")
+	case dest < 0 || dest > 1<<53 || dest != float64(int64(dest)):
+		return nil, errors.New("dest: a whole number")
+	}
+	n.Workload, n.Destination = w, choice.DestinationID(dest)
+	n.HardStop = s.Now() + choice.Time(hold*float64(choice.Millisecond))
+	n.size = journal.Framed(len(n.record()))
+	return n, nil
+}
+
+func splitPairs(list string) (pairs [][2]string) {
+	for len(list) > 0 {
+		var pair string
+		pair, list, _ = cut(list, ',')
+		name, value, _ := cut(pair, '=')
+		pairs = append(pairs, [2]string{name, value})
+	}
+	return pairs
+}
+
+func cut(text string, mark byte) (before, after string, found bool) {
+	for i := range len(text) {
+		if text[i] == mark {
+			return text[:i], text[i+1:], true
+		}
+	}
+	return text, "", false
+}
+
+func number(text string) float64 {
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || v != v {
+		return -1
+	}
+	return v
+}
+
+// token tells whether an id can stand in a head: nothing in it may end a line or a field.
+func token(id []byte) bool {
+	for _, c := range id {
+		if c <= ' ' || c >= 0x7f || c == '"' || c == '\\' {
+			return false
+		}
+	}
+	return len(id) > 0 && len(id) <= maxID
+}
+
+// room tells whether the journal can hold one more notice together with its later records.
+func (s *Sender) room(n *notice) bool {
+	fill := int64(fillShare * float64(s.journal.Limit()))
+	return s.live+n.size+endRecords <= int64(liveShare*float64(fill))
+}
+
+// commit writes what the turn must not forget. It tells whether anything may leave.
+func (s *Sender) commit() bool {
+	for _, n := range s.admitted {
+		if n.reply != nil && !n.lasting {
+			n.lasting = true
+			s.journal.Add(n.record())
+			s.keep(n)
+		}
+	}
+	for _, c := range s.starting {
+		for _, n := range c.notices {
+			if s.limitsRepeat(n) && !n.sure {
+				n.sure = true
+				s.journal.Add(outRecord(n, c))
+			}
+		}
+	}
+	err := s.journal.Flush()
+	if err == nil && s.journal.Size() > int64(fillShare*float64(s.journal.Limit())) {
+		s.order = deleteEnded(s.order)
+		err = s.journal.Rewrite(func(add func([]byte)) {
+			for _, n := range s.order {
+				n.records(add)
+			}
+		})
+		s.counts.rewritings++
+	}
+	if err != nil {
+		s.log.Error("journal", zap.Error(err))
+	}
+	return err == nil
+}
+
+func (s *Sender) keep(n *notice) {
+	s.order = append(s.order, n)
+	s.live += n.size + endRecords
+}
+
+func deleteEnded(order []*notice) []*notice {
+	kept := order[:0]
+	for _, n := range order {
+		if n.ending.what != endOver {
+			kept = append(kept, n)
+		}
+	}
+	clear(order[len(kept):])
+	return kept
+}
+
+// limitsRepeat tells whether a dispatch forbids or limits another one.
+func (s *Sender) limitsRepeat(n *notice) bool {
+	return s.cfg.Settings.Workloads[n.Workload].Repeat != choice.Replayable
+}
+
+// answerAdmitted tells the clients whose notices are lasting now.
+func (s *Sender) answerAdmitted() {
+	for _, n := range s.admitted {
+		if n.reply != nil {
+			s.counts.takenOn++
+			r := n.reply
+			n.reply = nil
+			s.answer(r, resp.AppendSimple(nil, "OK"))
+		}
+	}
+	clear(s.admitted)
+	s.admitted = s.admitted[:0]
+}
+
+// Kinds of record. All hold the id; what else they hold stands beside them.
+const (
+	recTaken  = 'T' // all that was handed in, and the hard stop by the wall clock
+	recOut    = 'O' // a dispatch that may run: when, and to which zone
+	recBack   = 'B' // it is proven that none has run
+	recEnding = 'E' // what the platform is still to be told
+	recOver   = 'X' // nothing more is owed
+)
+
+func appendText(out []byte, text string) []byte {
+	return append(binary.AppendUvarint(out, uint64(len(text))), text...)
+}
+
+func (n *notice) record() []byte {
+	out := appendText([]byte{recTaken}, string(n.ID))
+	out = appendText(appendText(out, n.key), n.workload)
+	out = binary.AppendVarint(binary.AppendVarint(out, int64(n.HardStop)), int64(n.Destination))
+	return appendText(out, string(n.body))
+}
+
+func outRecord(n *notice, c *call) []byte {
+	out := appendText([]byte{recOut}, string(n.ID))
+	return binary.AppendVarint(binary.AppendVarint(out, int64(c.began)), int64(c.e.zone))
+}
+
+func plainRecord(kind byte, id choice.NoticeID) []byte { return appendText([]byte{kind}, string(id)) }
+
+func endingRecord(n *notice) []byte {
+	return binary.AppendVarint(append(plainRecord(recEnding, n.ID), byte(n.ending.what)), n.ending.retryMS)
+}
+
+// records are all that a rewriting keeps of a notice.
+func (n *notice) records(add func([]byte)) {
+	add(n.record())
+	if n.sure && n.out != nil {
+		add(outRecord(n, n.out))
+	} else if n.sure {
+		out := appendText([]byte{recOut}, string(n.ID))
+		add(binary.AppendVarint(binary.AppendVarint(out, int64(n.RanAt)), int64(n.RanIn)))
+	}
+	if n.ending.what != endNone {
+		add(endingRecord(n))
+	}
+}
+
+// openJournal rebuilds what an earlier process owed, in the order it was taken on.
+func (s *Sender) openJournal() (unfinished []*notice, err error) {
+	s.owed = map[choice.NoticeID]*notice{}
+	limit := int64(s.cfg.Limits.DiskMB * (1 << 20))
+	j, dropped, err := journal.Open(s.cfg.State, limit, s.replay)
+	if err != nil {
+		return nil, err
+	}
+	s.journal = j
+	s.order = deleteEnded(s.order)
+	for _, n := range s.order {
+		s.live += n.size + endRecords
+		if n.ending.what != endNone {
+			s.endings = append(s.endings, n)
+		} else {
+			unfinished = append(unfinished, n)
+		}
+	}
+	s.counts.replayed = int64(len(s.order))
+	s.log.Info("journal open", zap.Int("owed", len(s.order)), zap.Int64("bytes", j.Size()), zap.Int64("dropped", dropped))
+	return unfinished, nil
+}
+
+// replay takes one record. One that cannot be read, or speaks of an unknown id, is passed over.
+func (s *Sender) replay(record []byte) {
+	p := fields{rest: record[1:]}
+	id := choice.NoticeID(p.text())
+	n := s.owed[id]
+	if record[0] == recTaken && n == nil {
+		n = &notice{lasting: true, size: journal.Framed(len(record))}
+		n.ID, n.key, n.workload = id, p.text(), p.text()
+		n.HardStop, n.Destination = choice.Time(p.number()), choice.DestinationID(p.number())
+		n.body = []byte(p.text())
+		w, known := s.cfg.Workloads[n.workload]
+		if n.Workload = w; p.broken || !known {
+			s.log.Warn("journal: a notice cannot be read", zap.String("id", string(id)), zap.String("workload", n.workload))
+			return
+		}
+		n.Key = choice.NoKey
+		if k, err := strconv.ParseUint(n.key, 16, 63); err == nil && k != 0 {
+			n.Key = choice.OrderKey(k)
+		}
+		s.owed[id] = n
+		s.order = append(s.order, n)
+	}
+	if n == nil || p.broken {
+		return
+	}
+	switch record[0] {
+	case recOut:
+		n.sure, n.MayRun = true, true
+		n.RanAt, n.RanIn = choice.Time(p.number()), choice.ZoneNo(p.number())
+	case recBack:
+		n.sure, n.MayRun = false, false
+	case recEnding:
+		if len(p.rest) > 0 {
+			what := p.rest[0]
+			p.rest = p.rest[1:]
+			n.ending = ending{what: endKind(what), retryMS: p.number()}
+		}
+	case recOver:
+		n.ending.what = endOver
+		delete(s.owed, id)
+	}
+}
+
+// fields reads a record's parts in order.
+type fields struct {
+	rest   []byte
+	broken bool
+}
+
+func (f *fields) text() string {
+	n, used := binary.Uvarint(f.rest)
+	if used <= 0 || n > uint64(len(f.rest)-used) {
+		f.broken = true
+		return ""
+	}
+	text := string(f.rest[used : used+int(n)])
+	f.rest = f.rest[used+int(n):]
+	return text
+}
+
+func (f *fields) number() int64 {
+	v, used := binary.Varint(f.rest)
+	if used <= 0 {
+		f.broken = true
+		return 0
+	}
+	f.rest = f.rest[used:]
+	return v
+}
+
+// Now is the wall clock at the start and the monotonic one from there.
+func (s *Sender) Now() choice.Time {
+	return config.Down(s.start.UnixNano() + int64(s.sinceStart()))
+}
--- /dev/null
+++ b/internal/sender/book.go
@@ -0,0 +1,259 @@
+package sender
+
+// This file keeps the books: it owns the ends of notices, what the platform is still to be told of them, and the
+// counters. It must never forget an ending before the platform has answered 204, and never post two at once.
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"go.uber.org/zap"
+
+	"flaxcove/choice"
+	"flaxcove/internal/http1"
+)
+
+const (
+	outcomesPath = "/v1/outcomes"
+	mostPosted   = 256 // endings in one post
+	postFor      = time.Second
+	firstRetry   = 50 * time.Millisecond
+	lastRetry    = time.Second
+)
+
+type endKind byte
+
+const (
+	endNone endKind = iota
+	endHandedBack
+	endGivenUp
+	endOver
+)
+
+// ending is how a notice that was not delivered ends.
+type ending struct {
+	what    endKind
+	retryMS int64
+}
+
+type book struct {
+	endings []*notice // owed to the platform; each leaves with its 204
+	posting bool
+	retryIn time.Duration
+	alone   bool // the last post was not understood: one at a time until one is
+	poster  poster
+	counts  counts
+}
+
+func (b *book) init() { b.retryIn = firstRetry }
+
+type counts struct {
+	handedIn, takenOn, refused, badCommands, replayed      int64
+	dispatches, probes, connects, connectsFailed, timedOut int64
+	delivered, handedBack, givenUp, posted, postsFailed    int64
+	clientsEnded, linksEnded, watchesEnded, rewritings     int64
+	outcomes                                               [choice.Moot + 1]int64
+}
+
+var resultNames = [choice.Moot + 1]string{"done", "errored", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot"}
+
+// Counters are a line each, name:value.
+func (s *Sender) Counters() (lines []string) {
+	add := func(name string, v int64) { lines = append(lines, fmt.Sprintf("%s:%d", name, v)) }
+	n := &s.counts
+	add("handed_in", n.handedIn)
+	add("taken_on", n.takenOn)
+	add("refused", n.refused)
+	add("bad_commands", n.badCommands)
+	add("replayed", n.replayed)
+	add("dispatches", n.dispatches)
+	for i, v := range n.outcomes {
+		add("outcome_"+resultNames[i], v)
+	}
+	add("probes", n.probes)
+	add("connects", n.connects)
+	add("connects_failed", n.connectsFailed)
+	add("calls_timed_out", n.timedOut)
+	add("delivered", n.delivered)
+	add("handed_back", n.handedBack)
+	add("given_up", n.givenUp)
+	add("endings_posted", n.posted)
+	add("posts_failed", n.postsFailed)
+	add("clients", int64(s.clients.count()))
+	add("clients_ended", n.clientsEnded)
+	add("links", int64(s.open))
+	add("links_ended", n.linksEnded)
+	add("watches_ended", n.watchesEnded)
+	add("journal_bytes", s.journal.Size())
+	add("journal_rewritings", n.rewritings)
+	add("owed", int64(len(s.owed)))
+	add("endings_owed", int64(len(s.endings)))
+	return lines
+}
+
+// over ends a notice for which nothing more is owed.
+func (s *Sender) over(n *notice) {
+	if n.ending.what == endOver {
+		return
+	}
+	if n.ending.what == endNone {
+		s.counts.delivered++
+	}
+	n.ending.what = endOver
+	delete(s.owed, n.ID)
+	if n.lasting {
+		s.journal.Add(plainRecord(recOver, n.ID))
+		s.live -= n.size + endRecords
+	}
+	n.body = nil
+}
+
+// end is the module's word that a notice ends undelivered. A client that still waits is told itself.
+func (s *Sender) end(n *notice, how ending) {
+	if n == nil || n.ending.what != endNone {
+		return
+	}
+	if how.what == endHandedBack {
+		s.counts.handedBack++
+	} else {
+		s.counts.givenUp++
+	}
+	n.ending = how
+	if n.reply != nil {
+		r := n.reply
+		n.reply = nil
+		if how.what == endHandedBack {
+			s.refuse(r, how.retryMS)
+		} else {
+			s.answer(r, []byte("-ERR given up\r\n"))
+		}
+		s.over(n)
+		return
+	}
+	s.journal.Add(endingRecord(n))
+	s.endings = append(s.endings, n)
+}
+
+// postEndings tells the platform, one post at a time. It runs behind the turn's append, so that what is told is
+// on record.
+func (s *Sender) postEndings() {
+	if s.posting || len(s.endings) == 0 {
+		return
+	}
+	batch := s.endings[:min(len(s.endings), mostPosted)]
+	if s.alone {
+		batch = batch[:1]
+	}
+	var body []byte
+	for _, n := range batch {
+		body = append(body, n.ending.line(n.ID)...)
+	}
+	s.posting = true
+	count := len(batch)
+	go func() {
+		status, err := s.poster.post(s.cfg.Discovery, body)
+		s.post(func() { s.postEnded(count, status, err) })
+	}()
+}
+
+func (e ending) line(id choice.NoticeID) []byte {
+	line := struct {
+		Message string `json:"message"`
+		Outcome string `json:"outcome"`
+		RetryIn int64  `json:"retry_in_ms,omitempty"`
+	}{string(id), "given_up", 0}
+	if e.what == endHandedBack {
+		line.Outcome, line.RetryIn = "handed_back", e.retryMS
+	}
+	text, err := json.Marshal(line)
+	if err != nil {
+		return nil // two strings and a number always marshal
+	}
+	return append(text, '\n')
+}
+
+func (s *Sender) postEnded(count, status int, err error) {
+	batch := s.endings[:count]
+	if err == nil && status == 204 {
+		for _, n := range batch {
+			s.over(n)
+		}
+		s.counts.posted += int64(count)
+		s.endings = append([]*notice(nil), s.endings[count:]...)
+		s.posting, s.alone, s.retryIn = false, false, firstRetry
+		return
+	}
+	s.counts.postsFailed++
+	s.log.Warn("platform not told", zap.Int("status", status), zap.Int("endings", count), zap.Error(err))
+	if err == nil {
+		// One line that is not understood must not hold up the others.
+		s.alone = true
+		s.endings = append(append([]*notice(nil), s.endings[count:]...), batch...)
+	}
+	s.after(s.retryIn, func() { s.posting = false })
+	s.retryIn = min(2*s.retryIn, lastRetry)
+}
+
+// poster holds the connection to the platform. It belongs to the one goroutine that posts.
+type poster struct {
+	conn netpoll.Connection
+	log  func(reason, error)
+}
+
+func (p *poster) post(addr string, body []byte) (status int, err error) {
+	fresh := p.conn == nil || !p.conn.IsActive()
+	if status, err = p.try(addr, body); err != nil && !fresh {
+		// The kept connection had ended; a notice told twice does no harm.
+		status, err = p.try(addr, body)
+	}
+	return status, err
+}
+
+func (p *poster) try(addr string, body []byte) (status int, err error) {
+	if p.conn == nil || !p.conn.IsActive() {
+		p.drop()
+		if p.conn, err = netpoll.DialConnection("tcp", addr, postFor); err != nil {
+			p.conn = nil
+			return 0, err
+		}
+		p.conn.SetReadTimeout(postFor)
+		p.conn.SetWriteTimeout(postFor)
+	}
+	defer func() {
+		if err != nil {
+			p.drop()
+		}
+	}()
+	request := append(http1.AppendRequest(nil, "POST", outcomesPath, addr, len(body)), body...)
+	if _, err = p.conn.Write(request); err != nil {
+		return 0, err
+	}
+	var a http1.Answer
+	for !a.Done {
+		r := p.conn.Reader()
+		if _, err = r.Peek(1); err != nil {
+			return 0, err
+		}
+		piece, err := r.Next(r.Len())
+		if err == nil {
+			err = a.Feed(piece)
+		}
+		r.Release()
+		if err != nil {
+			return 0, err
+		}
+	}
+	if a.Close {
+		p.drop()
+	}
+	return a.Status(), nil
+}
+
+func (p *poster) drop() {
+	if p.conn != nil {
+		p.conn.Close()
+		p.conn = nil
+	}
+}
--- /dev/null
+++ b/internal/sender/relay.go
@@ -0,0 +1,180 @@
+package sender
+
+// This file relays: it owns the meaning of endpoints' answers and tells the module each call's outcome. It must
+// never tell of one dispatch twice, nor call something proven not to have run where that is not certain.
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"flaxcove/choice"
+	"flaxcove/internal/http1"
+)
+
+type ctx = context.Context
+
+// answer is what an endpoint's answer says of a call.
+type answer struct {
+	result  choice.Result
+	final   bool
+	noSlot  bool
+	wait    choice.Time
+	report  []float64 // in the order of fields
+	fields  []string
+	states  map[choice.NoticeID]string // of a bulk call whose notices fared apart
+	close   bool
+	arrived time.Time
+}
+
+// of is an outcome by status. What has no meaning here may have run.
+func of(status int) (result choice.Result, final bool) {
+	switch status {
+	case 200:
+		return choice.Done, true
+	case 429, 503:
+		return choice.Full, false
+	case 410:
+		return choice.Moot, true
+	case 400, 404, 413, 504:
+		return choice.Moot, false
+	}
+	return choice.Errored, false
+}
+
+var states = map[string]int{"ok": 200, "error": 500, "later": 503, "gone": 410, "exhausted": 504}
+
+// readAnswer takes out of an answer all that is needed, since its buffer goes on to the next one.
+func readAnswer(h *http1.Answer) answer {
+	a := answer{close: h.Close, arrived: time.Now()}
+	a.result, a.final = of(h.Head.Status)
+	if v := h.Get("Retry-After"); v != nil {
+		a.wait = wait(v)
+	}
+	if a.noSlot = h.Head.Status == 503 && bytes.Equal(h.Get("X-No-Slot"), []byte("1")); a.noSlot {
+		a.result = choice.Moot
+	}
+	a.fields, a.report = readReport(h.Get("X-Load"))
+	if h.Head.Status == 200 && bytes.HasPrefix(bytes.TrimLeft(h.Body, " \r\n\t"), []byte("[")) {
+		var items []struct{ ID, State string }
+		if json.Unmarshal(h.Body, &items) == nil {
+			a.states = map[choice.NoticeID]string{}
+			for _, item := range items {
+				a.states[choice.NoticeID(item.ID)] = item.State
+			}
+		}
+	}
+	return a
+}
+
+// wait reads seconds with decimals, rounded up: a wait must not end early.
+func wait(text []byte) choice.Time {
+	v, err := strconv.ParseFloat(string(text), 64)
+	if err != nil || !(v > 0) || v > 1e6 {
+		return 0
+	}
+	return choice.Time(math.Ceil(v*float64(choice.Second))) + 1
+}
+
+func readReport(text []byte) (fields []string, values []float64) {
+	for len(text) > 0 {
+		var pair []byte
+		pair, text, _ = bytes.Cut(text, []byte{','})
+		name, value, _ := bytes.Cut(pair, []byte{'='})
+		if v, err := strconv.ParseFloat(string(bytes.TrimSpace(value)), 64); err == nil && !math.IsNaN(v) && !math.IsInf(v, 0) {
+			fields, values = append(fields, string(bytes.TrimSpace(name))), append(values, v)
+		}
+	}
+	return fields, values
+}
+
+func (a *answer) told() (r choice.Report) {
+	for i, name := range a.fields {
+		switch name {
+		case "x0":
+			r.Known, r.Left = true, a.report[i]
+		case "x1":
+			r.Known, r.Limit = true, a.report[i]
+		}
+	}
+	return r
+}
+
+// cutOff is the outcome of a call whose connection ended before its answer was whole.
+func cutOff(c *call, status int, began bool) answer {
+	a := answer{result: choice.Reset, arrived: time.Now()}
+	switch {
+	case !c.written && !began:
+		a.result = choice.ConnectFailed
+	case status != 0 && (len(c.notices) == 1 || status != 200):
+		// The status line alone says how a call with one notice ended.
+		a.result, a.final = of(status)
+	}
+	return a
+}
+
+// answered is told of a whole answer on a link.
+func (s *Sender) answered(l *link, a answer) {
+	c := l.call
+	if c == nil || c.over {
+		// Given up a moment ago, or never asked for.
+		s.closeLink(l, badAnswer)
+		return
+	}
+	c.over = true
+	if a.close {
+		l.call = nil
+		s.closeLink(l, askedClose)
+	} else {
+		s.makeIdle(l)
+	}
+	s.finish(c, a)
+}
+
+// finish tells the module how a call ended, notice by notice.
+func (s *Sender) finish(c *call, a answer) {
+	delete(s.calls, c)
+	if c.probe {
+		s.module.Probed(c.e.id, a.result)
+		return
+	}
+	took := s.Now() - c.began
+	for _, n := range c.notices {
+		o := choice.Outcome{Notice: n.ID, Dispatch: n.tries - 1, Endpoint: c.e.id, Took: took,
+			Result: a.result, Final: a.final, Wait: a.wait, NoSlot: a.noSlot, Report: a.told()}
+		if len(c.notices) > 1 && a.result == choice.Done {
+			o.Result, o.Final = choice.Errored, false // unless the answer names it
+			if status, known := states[a.states[n.ID]]; known {
+				o.Result, o.Final = of(status)
+			}
+		}
+		if o.Result != choice.Full {
+			o.Wait = 0
+		}
+		n.out = nil
+		s.record(n, c, o)
+		s.module.Ended(o)
+		if o.Final {
+			s.over(n)
+		}
+	}
+}
+
+// record keeps on paper whether a dispatch that limits repeats has run.
+func (s *Sender) record(n *notice, c *call, o choice.Outcome) {
+	s.counts.outcomes[o.Result]++
+	switch o.Result {
+	case choice.Errored, choice.TimedOut, choice.Reset, choice.Cancelled:
+		if !n.MayRun {
+			n.MayRun, n.RanAt, n.RanIn = true, c.began, c.e.zone
+		}
+	default:
+		if n.sure && !n.MayRun && !o.Final {
+			n.sure = false
+			s.journal.Add(plainRecord(recBack, n.ID))
+		}
+	}
+}
--- /dev/null
+++ b/internal/sender/route.go
@@ -0,0 +1,130 @@
+package sender
+
+// This file routes: it is the module's choice.Host on sockets, and it owns the list of endpoints as discovery
+// told it and the calls that the turn has laid up. It must never decide where or when a notice goes, nor let
+// anything leave before the turn is written down.
+
+import (
+	"math"
+	"time"
+
+	"go.uber.org/zap"
+
+	"flaxcove/choice"
+	"flaxcove/internal/config"
+	"flaxcove/internal/directory"
+)
+
+// endpoint is one of the list; it leaves once it is gone and has neither links nor calls.
+type endpoint struct {
+	id     choice.EndpointID
+	addr   string
+	zone   choice.ZoneNo
+	bundle int
+	gone   bool
+	open   *call // the one that this turn's notices share
+	idle   []*link
+	links  int // idle, busy and coming up
+}
+
+type routing struct {
+	endpoints map[choice.EndpointID]*endpoint
+	starting  []*call // of this turn
+}
+
+func (r *routing) init() { r.endpoints = map[choice.EndpointID]*endpoint{} }
+
+func (s *Sender) listNews(l directory.List, stale bool) {
+	entries, unread := s.names.Entries(l)
+	if unread > 0 {
+		s.log.Warn("list: entries left out", zap.Int("unread", unread), zap.Int64("version", l.Version))
+	}
+	if l.Full {
+		for _, e := range s.endpoints {
+			e.gone = true
+		}
+	}
+	addrs := map[choice.EndpointID]string{}
+	for _, entry := range l.Servers {
+		addrs[choice.EndpointID(entry.ID)] = entry.Addr
+	}
+	for _, entry := range entries {
+		e := s.endpoints[entry.Endpoint]
+		if e == nil {
+			e = &endpoint{id: entry.Endpoint}
+			s.endpoints[e.id] = e
+		}
+		if addr := addrs[e.id]; addr != "" && addr != e.addr {
+			s.closeIdle(e, moved)
+			e.addr = addr
+		}
+		kinds := s.cfg.Settings.Kinds
+		e.zone, e.bundle = entry.Zone, kinds[max(0, min(int(entry.Kind), len(kinds)-1))].BundleMax
+		e.gone = entry.Stage == choice.Gone
+	}
+	for _, e := range s.endpoints {
+		if e.gone {
+			s.closeIdle(e, unlisted)
+			s.forget(e)
+		}
+	}
+	s.module.ListNews(entries, l.Full, stale)
+}
+
+func (s *Sender) forget(e *endpoint) {
+	if e.gone && e.links == 0 && s.endpoints[e.id] == e {
+		delete(s.endpoints, e.id)
+	}
+}
+
+// Dispatch lays a notice into a call of this turn. Notices to one endpoint share one, up to what its kind takes.
+func (s *Sender) Dispatch(id choice.NoticeID, to choice.EndpointID, timeOut choice.Time) {
+	n, e := s.owed[id], s.endpoints[to]
+	if e == nil {
+		// Gone from the list with its last link while the module still held it: the call finds nobody there.
+		e = &endpoint{id: to, gone: true, bundle: 1}
+	}
+	c := e.open
+	if c == nil || len(c.notices) >= e.bundle {
+		c = &call{s: s, e: e, began: s.Now()}
+		if e.open == nil || e.bundle > 1 {
+			e.open = c
+		}
+		s.starting = append(s.starting, c)
+	}
+	c.notices = append(c.notices, n)
+	c.lasts = max(c.lasts, timeOut)
+	n.out = c
+	n.tries++
+	s.counts.dispatches++
+}
+
+// Shed ends a notice that has never run: by refusing it where the client still waits, else by the platform.
+func (s *Sender) Shed(id choice.NoticeID, comeBackIn choice.Time) {
+	ms := int64(math.Ceil(float64(comeBackIn) / float64(choice.Millisecond)))
+	s.end(s.owed[id], ending{what: endHandedBack, retryMS: ms})
+}
+
+func (s *Sender) GiveUp(id choice.NoticeID) { s.end(s.owed[id], ending{what: endGivenUp}) }
+
+func (s *Sender) Probe(id choice.EndpointID) {
+	c := &call{s: s, e: s.endpoints[id], began: s.Now(), probe: true, lasts: s.cfg.Settings.DialTimeout + probeFor}
+	if c.e == nil {
+		c.e = &endpoint{id: id, gone: true}
+	}
+	s.counts.probes++
+	s.starting = append(s.starting, c)
+}
+
+func (s *Sender) CloseIdle(id choice.EndpointID) {
+	if e := s.endpoints[id]; e != nil {
+		s.closeIdle(e, unneeded)
+	}
+}
+
+func (s *Sender) Timer(in choice.Time, id choice.TimerID) {
+	s.after(time.Duration(config.Nanoseconds(in)), func() { s.module.TimerDue(id) })
+}
+
+// Watch has nothing to do: the watch at discovery is held from the start and asked for anew by itself.
+func (s *Sender) Watch(on bool) {}
--- /dev/null
+++ b/internal/sender/send.go
@@ -0,0 +1,378 @@
+package sender
+
+// This file sends: it owns the connections to endpoints and the calls on them, from the first byte to an answer,
+// an end or a time-out. Each connection carries one call at a time. It must never send a call again by itself,
+// write one whose time has passed or whose endpoint the module has meanwhile closed off, leave a call that was
+// given up on an open connection, or take a call of which a byte may be missing for one that ran.
+
+import (
+	"encoding/base64"
+	"errors"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"flaxcove/choice"
+	"flaxcove/internal/config"
+	"flaxcove/internal/http1"
+)
+
+const (
+	probeFor   = 1500 * choice.Millisecond // an answer to a probe
+	idleMargin = 500 * time.Millisecond    // we close an idle link so long before its endpoint would
+	// settleFor lies between the end of a given-up call's connection and what the module does next: its
+	// endpoint must see the end before a new call with the same notice, or counts two at once.
+	settleFor = 10 * time.Millisecond
+	readAhead = 4 << 10 // bytes behind an answer, which nobody asked for
+)
+
+const (
+	linkIdle   reason = "idle"
+	unlisted   reason = "endpoint_unlisted"
+	moved      reason = "endpoint_moved"
+	unneeded   reason = "not_needed"
+	gaveUp     reason = "call_given_up"
+	badAnswer  reason = "bad_answer"
+	askedClose reason = "endpoint_closes"
+	notUp      reason = "connect_failed"
+	crowded    reason = "links_at_limit"
+	unwritten  reason = "write_failed"
+)
+
+// call is one request on its way: the notices it carries, or a probe.
+type call struct {
+	s       *Sender
+	e       *endpoint
+	notices []*notice
+	probe   bool
+	began   choice.Time
+	lasts   choice.Time // the longest time-out of its notices
+	link    *link       // once it is up
+	written bool        // its last byte may have left
+	over    bool
+}
+
+// link is one connection to an endpoint. The answer belongs to netpoll's one running callback.
+type link struct {
+	s      *Sender
+	e      *endpoint
+	conn   netpoll.Connection
+	answer http1.Answer
+
+	call    *call // loop
+	idleAt  time.Duration
+	why     reason
+	up      bool
+	closing bool
+	lock    sync.Mutex
+	bulk    bool // under lock: what the answer at hand is to
+}
+
+type links struct {
+	open     int // idle, busy and coming up
+	mostOpen int
+	calls    map[*call]struct{} // those out; emptied as they end
+}
+
+func (l *links) init(cfg *config.Config, clients int) {
+	l.mostOpen = max(cfg.Settings.Slots+1, cfg.Limits.Sockets-clients-spareFDs)
+	l.calls = map[*call]struct{}{}
+}
+
+// startCalls lets the turn's calls leave.
+func (s *Sender) startCalls() {
+	for _, c := range s.starting {
+		c.e.open = nil
+		s.start1(c)
+	}
+	clear(s.starting)
+	s.starting = s.starting[:0]
+}
+
+func (s *Sender) start1(c *call) {
+	s.calls[c] = struct{}{}
+	for _, n := range c.notices {
+		// All of a call end together: none may be told its time-out while the call can still bring it about.
+		c.lasts = min(c.lasts, max(1, n.HardStop-c.began-s.cfg.Settings.Turn))
+	}
+	s.after(time.Duration(config.Nanoseconds(c.lasts)), func() { s.expire(c) })
+	if l := s.takeIdle(c.e); l != nil {
+		s.write(c, l)
+		return
+	}
+	if s.open >= s.mostOpen && !s.closeOldestIdle() || c.e.addr == "" {
+		s.logEnd("endpoint", string(c.e.id), crowded, nil)
+		s.connectFailed(c)
+		return
+	}
+	s.open++
+	c.e.links++
+	s.counts.connects++
+	addr, within := c.e.addr, min(s.cfg.Settings.DialTimeout, c.lasts)
+	if s.cfg.Settings.DialTimeout == 0 {
+		within = c.lasts
+	}
+	go func() {
+		conn, err := netpoll.DialConnection("tcp", addr, time.Duration(config.Nanoseconds(max(1, within))))
+		s.post(func() { s.dialed(c, conn, err) })
+	}()
+}
+
+// takeIdle is the link used last, so that the others can idle out. One whose end has come but was not handled
+// yet would cost a call that may have run, so the socket itself is asked.
+func (s *Sender) takeIdle(e *endpoint) *link {
+	for len(e.idle) > 0 {
+		l := e.idle[len(e.idle)-1]
+		e.idle = e.idle[:len(e.idle)-1]
+		if l.alive() {
+			return l
+		}
+		s.closeLink(l, peerClosed)
+	}
+	return nil
+}
+
+func (l *link) alive() bool {
+	fd, known := l.conn.(netpoll.Conn)
+	if !known || !l.conn.IsActive() {
+		return false
+	}
+	_, _, err := syscall.Recvfrom(fd.Fd(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+func (s *Sender) dialed(c *call, conn netpoll.Connection, err error) {
+	if err != nil {
+		s.open--
+		c.e.links--
+		s.counts.connectsFailed++
+		s.logEnd("endpoint", string(c.e.id), notUp, err)
+		s.forget(c.e)
+		s.connectFailed(c)
+		return
+	}
+	l := &link{s: s, e: c.e, conn: conn, up: true}
+	conn.SetWriteTimeout(time.Duration(config.Nanoseconds(max(1, c.lasts))))
+	conn.AddCloseCallback(func(netpoll.Connection) error {
+		// The loop may be the one that closes, so this must not wait for it.
+		status, began := l.answer.Status(), l.answer.Began()
+		go s.post(func() { s.linkEnded(l, status, began) })
+		return nil
+	})
+	conn.SetOnRequest(l.onBytes)
+	if !conn.IsActive() {
+		// It ended before netpoll knew whom to tell.
+		conn.Close()
+	}
+	switch {
+	case c.over:
+		s.makeIdle(l)
+	case !c.probe && !s.module.Open(c.e.id) || c.e.gone:
+		// Told to wait, or of a drain, while the connection came up: the call must not leave.
+		s.makeIdle(l)
+		s.connectFailed(c)
+	default:
+		s.write(c, l)
+	}
+}
+
+func (s *Sender) makeIdle(l *link) {
+	l.call = nil
+	if l.closing {
+		return
+	}
+	if l.e.gone {
+		s.closeLink(l, unlisted)
+		return
+	}
+	l.e.idle = append(l.e.idle, l)
+	l.idleAt = s.sinceStart()
+	at := l.idleAt
+	if keep := time.Duration(config.Nanoseconds(s.cfg.Settings.ConnIdle)); keep > 0 {
+		s.after(max(keep/2, keep-idleMargin), func() {
+			if l.call == nil && l.idleAt == at && !l.closing {
+				s.dropIdle(l, linkIdle)
+			}
+		})
+	}
+}
+
+func (s *Sender) dropIdle(l *link, why reason) {
+	for i, other := range l.e.idle {
+		if other == l {
+			l.e.idle = append(l.e.idle[:i], l.e.idle[i+1:]...)
+			break
+		}
+	}
+	s.closeLink(l, why)
+}
+
+func (s *Sender) closeIdle(e *endpoint, why reason) {
+	for len(e.idle) > 0 {
+		s.dropIdle(e.idle[len(e.idle)-1], why)
+	}
+}
+
+func (s *Sender) closeOldestIdle() bool {
+	var oldest *link
+	for _, e := range s.endpoints {
+		if len(e.idle) > 0 && (oldest == nil || e.idle[0].idleAt < oldest.idleAt) {
+			oldest = e.idle[0]
+		}
+	}
+	if oldest != nil {
+		s.dropIdle(oldest, crowded)
+	}
+	return oldest != nil
+}
+
+func (s *Sender) closeLink(l *link, why reason) {
+	if l.closing {
+		return
+	}
+	l.closing, l.why = true, why
+	l.conn.Close()
+}
+
+// write sends a call on a link. A goroutine does, since netpoll waits where the endpoint reads slowly.
+func (s *Sender) write(c *call, l *link) {
+	c.link, l.call = l, c
+	head, body := s.request(c)
+	l.lock.Lock()
+	l.bulk = len(c.notices) > 0 && c.e.bundle > 1 && len(c.notices) > 1
+	l.lock.Unlock()
+	c.written = true // from here on it cannot be told from outside the goroutine
+	go func() {
+		err := l.send(head, body)
+		if err != nil {
+			s.post(func() { s.unsent(c, l, err) })
+		}
+	}()
+}
+
+// send gathers head and body into one write.
+func (l *link) send(head, body []byte) error {
+	w := l.conn.Writer()
+	if _, err := w.WriteBinary(head); err != nil {
+		return err
+	}
+	if len(body) > 0 {
+		if _, err := w.WriteBinary(body); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+// unsent is told of a write that did not bring its last byte away. One that ran out of time may yet do so.
+func (s *Sender) unsent(c *call, l *link, err error) {
+	if !c.over {
+		c.written = errors.Is(err, netpoll.ErrWriteTimeout)
+	}
+	s.closeLink(l, unwritten)
+}
+
+type bulkItem struct {
+	ID   string `json:"id"`
+	Key  string `json:"key"`
+	Body string `json:"body"`
+}
+
+func (s *Sender) request(c *call) (head, body []byte) {
+	if c.probe {
+		return http1.AppendRequest(nil, "GET", "/-/healthy", c.e.addr, -1), nil
+	}
+	left := c.began + c.lasts - s.Now()
+	wait := strconv.FormatInt(int64(max(1, (left+choice.Millisecond-1)/choice.Millisecond)), 10)
+	if len(c.notices) == 1 {
+		n := c.notices[0]
+		return http1.AppendRequest(nil, "POST", "/inbox", c.e.addr, len(n.body),
+			"X-Request-Id", string(n.ID), "X-Deadline-Ms", wait), n.body
+	}
+	// Ids and keys are visible characters without quotes, so they stand in JSON as they are.
+	body = append(body, '[')
+	for i, n := range c.notices {
+		if i > 0 {
+			body = append(body, ',')
+		}
+		body = append(append(body, `{"id":"`...), n.ID...)
+		body = append(append(append(body, `","key":"`...), n.key...), `","body":"`...)
+		body = append(base64.StdEncoding.AppendEncode(body, n.body), `"}`...)
+	}
+	body = append(body, ']')
+	return http1.AppendRequest(nil, "POST", "/inbox/bulk", c.e.addr, len(body),
+		"Content-Type", "application/json", "X-Deadline-Ms", wait), body
+}
+
+// onBytes reads what an endpoint says and hands on each whole answer.
+func (l *link) onBytes(_ ctx, conn netpoll.Connection) error {
+	r := conn.Reader()
+	piece, err := r.Next(r.Len())
+	if err != nil {
+		return err
+	}
+	err = l.answer.Feed(piece)
+	r.Release()
+	if err == nil && l.answer.Done {
+		a := readAnswer(&l.answer)
+		l.answer.Reset()
+		l.s.post(func() { l.s.answered(l, a) })
+	}
+	if err != nil || l.answer.Began() && len(piece) > 0 && l.answer.Left() > readAhead {
+		l.s.post(func() { l.s.closeLink(l, badAnswer) })
+	}
+	return nil
+}
+
+// expire gives a call up: whatever it may still do, its connection ends, and the module hears of it once the
+// endpoint has had time to see that.
+func (s *Sender) expire(c *call) {
+	if c.over {
+		return
+	}
+	s.counts.timedOut++
+	if c.link == nil {
+		s.connectFailed(c)
+		return
+	}
+	l := c.link
+	l.call = nil
+	c.over = true
+	s.closeLink(l, gaveUp)
+	s.after(settleFor, func() { s.finish(c, answer{result: choice.TimedOut}) })
+}
+
+func (s *Sender) connectFailed(c *call) {
+	if !c.over {
+		c.over = true
+		s.finish(c, answer{result: choice.ConnectFailed})
+	}
+}
+
+// linkEnded hears of every link's end, ours or theirs.
+func (s *Sender) linkEnded(l *link, status int, began bool) {
+	if !l.closing {
+		l.closing, l.why = true, peerClosed
+		for i, other := range l.e.idle {
+			if other == l {
+				l.e.idle = append(l.e.idle[:i], l.e.idle[i+1:]...)
+				break
+			}
+		}
+	}
+	s.open--
+	l.e.links--
+	s.counts.linksEnded++
+	s.logEnd("endpoint", string(l.e.id), l.why, nil)
+	s.forget(l.e)
+	c := l.call
+	l.call = nil
+	if c == nil || c.over {
+		return
+	}
+	c.over = true
+	s.finish(c, cutOff(c, status, began))
+}
--- /dev/null
+++ b/internal/sender/sender.go
@@ -0,0 +1,248 @@
+// Package sender is the gateway on sockets: a chain of units around the decisions of package choice.
+//
+// A notice passes takein.go (client connections), admit.go (checks, journal, answer), route.go (the module's
+// Host), send.go (connections and calls), relay.go (answers to outcomes) and book.go (ends, notices to the
+// platform, counters). This file owns the one goroutine that holds the module, the tables and the timers, and
+// the turn in which all that has come in is acted on. Other goroutines wait on sockets and hand what they parsed
+// to post; they must never touch a table. The loop must never wait on a socket.
+package sender
+
+import (
+	"container/heap"
+	"fmt"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"flaxcove/choice"
+	"flaxcove/internal/config"
+	"flaxcove/internal/directory"
+)
+
+const (
+	inboxSize = 1024
+	// A planned restart leaves 3.7 s from the signal to the kill. New calls stop early, so that those out, of
+	// which a single-use one that is cut off is lost, can end before the process does.
+	lingerFor = 500 * time.Millisecond // clients still come by new connections
+	sendFor   = 2500 * time.Millisecond
+	endAfter  = 3300 * time.Millisecond
+	retryTurn = 20 * time.Millisecond // a turn whose journal could not be written
+)
+
+// Sender is one running sender. All fields belong to the loop unless said otherwise.
+type Sender struct {
+	cfg    *config.Config
+	log    *zap.Logger
+	module *choice.Sender
+	names  directory.Names
+	start  time.Time // Now counts from here by the monotonic clock, so that it never steps back
+	inbox  chan func()
+	stop   chan struct{} // closed at the end
+
+	timers   timers
+	timerNo  uint64
+	lastTurn time.Duration
+	stirred  bool // something came in since the last turn
+	failing  bool // the journal could not be written
+	ended    bool
+
+	drainAt time.Time // when the signal to end came
+
+	takeIn
+	admission
+	routing
+	links
+	book
+}
+
+// Start replays the journal, tells the module what it finds, and returns once clients may come.
+func Start(cfg *config.Config, log *zap.Logger) (*Sender, error) {
+	s := &Sender{cfg: cfg, log: log, start: time.Now(), inbox: make(chan func(), inboxSize), stop: make(chan struct{})}
+	s.names = directory.Names{Zones: cfg.Zones, Kinds: cfg.Kinds}
+	s.takeIn.init(cfg)
+	s.routing.init()
+	s.links.init(cfg, s.clients.most)
+	s.book.init()
+	unfinished, err := s.openJournal()
+	if err != nil {
+		return nil, err
+	}
+	s.module = choice.Start(s, choice.SenderID(cfg.Name), cfg.Seed, cfg.Settings)
+	s.listNews(cfg.Known, true)
+	for _, n := range unfinished {
+		s.module.Taken(n.told())
+	}
+	if err := s.listen(); err != nil {
+		s.journal.Close()
+		return nil, err
+	}
+	go s.watch(cfg.Known.Version)
+	return s, nil
+}
+
+func (s *Sender) watch(since int64) {
+	directory.Watch(s.cfg.Discovery, since, s.stop,
+		func(l directory.List) { s.post(func() { s.listNews(l, false) }) },
+		func(err error) {
+			s.post(func() {
+				s.counts.watchesEnded++
+				s.log.Info("connection ended", zap.String("side", "discovery"), zap.String("reason", "watch_over"), zap.Error(err))
+				s.module.ListFailed()
+			})
+		})
+}
+
+// post hands the loop something to do. It may be called from any goroutine but the loop's own.
+func (s *Sender) post(f func()) {
+	select {
+	case s.inbox <- f:
+	case <-s.stop:
+	}
+}
+
+// Drain begins a planned end; Run returns when it is over.
+func (s *Sender) Drain() { s.post(s.drain) }
+
+// Run is the loop.
+func (s *Sender) Run() {
+	wake := time.NewTimer(0)
+	for !s.ended {
+		next := s.timers.due()
+		if s.stirred {
+			next = min(next, s.nextTurn())
+		}
+		wake.Reset(next - s.sinceStart())
+		select {
+		case f := <-s.inbox:
+			f()
+			s.stirred = true
+			s.takeWaiting()
+		case <-wake.C:
+		}
+		now := s.sinceStart()
+		if now >= s.nextTurn() && (s.stirred || now >= s.timers.due()) {
+			s.turn()
+		}
+	}
+	s.close()
+}
+
+// takeWaiting takes what else has come, but no more than was there at the start, or timers would starve.
+func (s *Sender) takeWaiting() {
+	for range len(s.inbox) {
+		(<-s.inbox)()
+	}
+}
+
+func (s *Sender) sinceStart() time.Duration { return time.Since(s.start) }
+
+func (s *Sender) sinceDrain() time.Duration { return time.Since(s.drainAt) }
+
+// nextTurn is when the next turn may come.
+func (s *Sender) nextTurn() time.Duration {
+	gap := time.Duration(config.Nanoseconds(s.cfg.Settings.Turn))
+	if s.failing {
+		gap = retryTurn
+	}
+	return s.lastTurn + gap
+}
+
+// turn ends what came in together: the module acts, one append makes it lasting, and only then does anything leave.
+func (s *Sender) turn() {
+	s.lastTurn, s.stirred = s.sinceStart(), false
+	for s.timers.due() <= s.sinceStart() {
+		t := heap.Pop(&s.timers).(timer)
+		t.fire()
+	}
+	if !s.late() {
+		s.module.TurnEnd()
+	}
+	if !s.commit() {
+		s.failing, s.stirred = true, true
+		return
+	}
+	s.failing = false
+	s.answerAdmitted()
+	s.startCalls()
+	s.postEndings()
+	s.checkDrain()
+}
+
+func (s *Sender) drain() {
+	if !s.drainAt.IsZero() {
+		return
+	}
+	s.drainAt = time.Now()
+	s.log.Info("draining", zap.Int("owed", len(s.owed)))
+	s.closeIdleClients()
+	s.after(endAfter, func() {})
+}
+
+func (s *Sender) checkDrain() {
+	if s.drainAt.IsZero() {
+		return
+	}
+	s.closeIdleClients()
+	since := s.sinceDrain()
+	if since >= endAfter || since >= lingerFor && len(s.owed) == 0 && s.clients.count() == 0 {
+		s.ended = true
+	}
+}
+
+// close ends the process's part; what is owed stays in the journal.
+func (s *Sender) close() {
+	close(s.stop)
+	if err := s.journal.Close(); err != nil {
+		s.log.Error("journal", zap.Error(err))
+	}
+	s.log.Info("ended", zap.Int("owed", len(s.owed)), zap.String("counters", strings.Join(s.Counters(), " ")))
+}
+
+// after has the loop call fire once so much time is over.
+func (s *Sender) after(d time.Duration, fire func()) {
+	s.timerNo++
+	heap.Push(&s.timers, timer{s.sinceStart() + d, s.timerNo, fire})
+}
+
+type timer struct {
+	at   time.Duration
+	no   uint64 // timers of one time fire in the order set
+	fire func()
+}
+
+// timers are a heap by time. Each leaves when it fires; none is taken back.
+type timers []timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].no < t[j].no
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	(*t)[last] = timer{}
+	*t = (*t)[:last]
+	return x
+}
+
+// due is when the first fires.
+func (t timers) due() time.Duration {
+	if len(t) == 0 {
+		return time.Hour
+	}
+	return t[0].at
+}
+
+// reason is why a connection ended, as the log tells it.
+type reason string
+
+func (s *Sender) logEnd(side, peer string, why reason, err error) {
+	fields := []zap.Field{zap.String("side", side), zap.String("peer", peer), zap.String("reason", string(why))}
+	if err != nil {
+		fields = append(fields, zap.String("error", fmt.Sprint(err)))
+	}
+	s.log.Info("connection ended", fields...)
+}
