--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,48 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"strings"
+)
+
+const good = `{"name":"s","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","state":"state","seed":"8c1f30d27a5be964",
+"limits":{"memory_mb":64,"sockets":128,"disk_mb":3},
+"settings":{"classes":[{"name":"status","idempotency":"pure","deadline":6000000000,"worth":1}],"extra":{"callsOut":4},
+"machineTypes":["one"],"zones":["z"],"novel":1},"novel":{}}`
+
+func load(text string, env ...string) {
+	file, _ := os.CreateTemp("", "config")
+	defer os.Remove(file.Name())
+	file.WriteString(text)
+	file.Close()
+	c, err := Load(func(name string) string {
+		for i := 0; i < len(env); i += 2 {
+			if env[i] == name {
+				return env[i+1]
+			}
+		}
+		if name == "EDGE_CONFIG" {
+			return file.Name()
+		}
+		return ""
+	})
+	if err != nil {
+		fmt.Println(strings.ReplaceAll(err.Error(), file.Name(), "FILE"))
+		return
+	}
+	fmt.Println(c.Name, c.Listen, c.Discovery, c.State, c.Seed, c.Limits, c.Settings.Slots, c.Workloads)
+}
+
+// The environment goes before the file; what is wrong is named by its field, and nothing is guessed.
+func ExampleLoad() {
+	load(good)
+	load(good, "EDGE_NAME", "other", "EDGE_STATE", "/run/state")
+	load(good, "EDGE_CONFIG", "/nowhere")
+	for _, change := range [][2]string{{`"name":"s",`, ``}, {`"127.0.0.1:1"`, `"here"`}, {`8c1f30d27a5be964`, `12 monkeys`},
+		{`"sockets":128`, `"sockets":3`}, {`"memory_mb":64`, `"memory_mb":"much"`}, {`"disk_mb":3`, `"disk_mb":0`},
+		{`"callsOut":4`, `"callsOut":0`}, {`"pure"`, `"magic"`}, {`"settings":`, `"setings":`}, {`"novel":1}`, ``}} {
+		load(strings.Replace(good, change[0], change[1], 1))
+	}
+	// Output:
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -126,12 +126,10 @@
 	return nil
 }
 
-// Rewrite replaces the file by one that holds just the records that all adds. While both exist both count
-// against the limit, so a rewriting that would pass it is not begun: all is asked first for the sum.
+// Rewrite replaces the file by one that holds just the records that all adds; what was added since the last
+// Flush must be among them. While both files exist both count against the limit, so a rewriting that would
+// pass it is not begun. If it fails, the old file and what waits for Flush are as they were.
 func (j *Journal) Rewrite(all func(add func(record []byte))) error {
-	if err := j.Flush(); err != nil {
-		return err
-	}
 	fresh := []byte(magic)
 	all(func(record []byte) { fresh = frame(fresh, record) })
 	if whole(int64(len(fresh)))+whole(j.size) > j.limit {
@@ -148,7 +146,7 @@
 		return fmt.Errorf("journal: %w", err)
 	}
 	j.file.Close()
-	j.file, j.size = file, int64(len(fresh))
+	j.file, j.size, j.batch = file, int64(len(fresh)), j.batch[:0]
 	return nil
 }
 
--- a/internal/sender/admit.go
+++ b/internal/sender/admit.go
@@ -19,12 +19,14 @@
 )
 
 const (
-	maxID      = 128
-	maxHold    = 24 * 60 * 60 * 1000 // milliseconds that a notice may ask for
-	busyFor    = 500                 // milliseconds that a refusal names where the module names none
-	endRecords = 256                 // bytes of the later records of one notice, at most
-	fillShare  = 0.45                // of the disk for the file: a rewriting has as much again beside it
-	liveShare  = 0.8                 // of the file for what is owed, or each turn would rewrite it
+	maxID   = 128
+	maxHold = 24 * 60 * 60 * 1000 // milliseconds that a notice may ask for
+	busyFor = 500                 // milliseconds that a refusal names where the module names none
+	// The file is rewritten before it fills fillShare of the disk, into one that holds what is owed, which may
+	// take liveShare; while both exist both count. The gap between the two keeps rewritings rare.
+	fillShare  = 0.58
+	liveShare  = 0.38
+	endRecords = 3 * (maxID + 64) // bytes of the later records of one notice, at most
 )
 
 // notice is one that was handed in and has not ended. It leaves Sender.owed when nothing more is owed for it.
@@ -122,7 +124,7 @@
 }
 
 // late tells whether a planned end is too near to begin anything.
-func (s *Sender) late() bool { return !s.drainAt.IsZero() && s.sinceDrain() >= sendFor }
+func (s *Sender) late() bool { return s.draining && s.sinceDrain() >= sendFor }
 
 func (s *Sender) refuse(r *reply, ms int64) {
 	s.counts.refused++
@@ -206,8 +208,7 @@
 
 // room tells whether the journal can hold one more notice together with its later records.
 func (s *Sender) room(n *notice) bool {
-	fill := int64(fillShare * float64(s.journal.Limit()))
-	return s.live+n.size+endRecords <= int64(liveShare*float64(fill))
+	return s.live+n.size+endRecords <= int64(liveShare*float64(s.journal.Limit()))
 }
 
 // commit writes what the turn must not forget. It tells whether anything may leave.
@@ -223,19 +224,21 @@
 		for _, n := range c.notices {
 			if s.limitsRepeat(n) && !n.sure {
 				n.sure = true
-				s.journal.Add(outRecord(n, c))
+				s.journal.Add(outRecord(n.ID, c.began, c.e.zone))
 			}
 		}
 	}
-	err := s.journal.Flush()
-	if err == nil && s.journal.Size() > int64(fillShare*float64(s.journal.Limit())) {
+	var err error
+	if s.journal.Size() > int64(fillShare*float64(s.journal.Limit())) {
 		s.order = deleteEnded(s.order)
+		s.counts.rewritings++
 		err = s.journal.Rewrite(func(add func([]byte)) {
 			for _, n := range s.order {
 				n.records(add)
 			}
 		})
-		s.counts.rewritings++
+	} else {
+		err = s.journal.Flush()
 	}
 	if err != nil {
 		s.log.Error("journal", zap.Error(err))
@@ -298,9 +301,8 @@
 	return appendText(out, string(n.body))
 }
 
-func outRecord(n *notice, c *call) []byte {
-	out := appendText([]byte{recOut}, string(n.ID))
-	return binary.AppendVarint(binary.AppendVarint(out, int64(c.began)), int64(c.e.zone))
+func outRecord(id choice.NoticeID, at choice.Time, zone choice.ZoneNo) []byte {
+	return binary.AppendVarint(binary.AppendVarint(plainRecord(recOut, id), int64(at)), int64(zone))
 }
 
 func plainRecord(kind byte, id choice.NoticeID) []byte { return appendText([]byte{kind}, string(id)) }
@@ -312,11 +314,10 @@
 // records are all that a rewriting keeps of a notice.
 func (n *notice) records(add func([]byte)) {
 	add(n.record())
-	if n.sure && n.out != nil {
-		add(outRecord(n, n.out))
-	} else if n.sure {
-		out := appendText([]byte{recOut}, string(n.ID))
-		add(binary.AppendVarint(binary.AppendVarint(out, int64(n.RanAt)), int64(n.RanIn)))
+	if n.sure && n.MayRun {
+		add(outRecord(n.ID, n.RanAt, n.RanIn))
+	} else if n.sure && n.out != nil {
+		add(outRecord(n.ID, n.out.began, n.out.e.zone))
 	}
 	if n.ending.what != endNone {
 		add(endingRecord(n))
@@ -326,7 +327,7 @@
 // openJournal rebuilds what an earlier process owed, in the order it was taken on.
 func (s *Sender) openJournal() (unfinished []*notice, err error) {
 	s.owed = map[choice.NoticeID]*notice{}
-	limit := int64(s.cfg.Limits.DiskMB * (1 << 20))
+	limit := int64(s.cfg.Limits.DiskMB * 1e6)
 	j, dropped, err := journal.Open(s.cfg.State, limit, s.replay)
 	if err != nil {
 		return nil, err
--- a/internal/sender/book.go
+++ b/internal/sender/book.go
@@ -23,6 +23,8 @@
 	lastRetry    = time.Second
 )
 
+const postFailed reason = "post_failed"
+
 type endKind byte
 
 const (
@@ -44,6 +46,7 @@
 	retryIn time.Duration
 	alone   bool // the last post was not understood: one at a time until one is
 	poster  poster
+	tell    func(body []byte) (status int, err error) // a test puts its own in place
 	counts  counts
 }
 
@@ -153,7 +156,7 @@
 	s.posting = true
 	count := len(batch)
 	go func() {
-		status, err := s.poster.post(s.cfg.Discovery, body)
+		status, err := s.tell(body)
 		s.post(func() { s.postEnded(count, status, err) })
 	}()
 }
@@ -199,7 +202,7 @@
 // poster holds the connection to the platform. It belongs to the one goroutine that posts.
 type poster struct {
 	conn netpoll.Connection
-	log  func(reason, error)
+	log  func(why reason, err error)
 }
 
 func (p *poster) post(addr string, body []byte) (status int, err error) {
@@ -213,9 +216,10 @@
 
 func (p *poster) try(addr string, body []byte) (status int, err error) {
 	if p.conn == nil || !p.conn.IsActive() {
-		p.drop()
+		p.drop(peerClosed, nil)
 		if p.conn, err = netpoll.DialConnection("tcp", addr, postFor); err != nil {
 			p.conn = nil
+			p.log(notUp, err)
 			return 0, err
 		}
 		p.conn.SetReadTimeout(postFor)
@@ -223,7 +227,7 @@
 	}
 	defer func() {
 		if err != nil {
-			p.drop()
+			p.drop(postFailed, err)
 		}
 	}()
 	request := append(http1.AppendRequest(nil, "POST", outcomesPath, addr, len(body)), body...)
@@ -245,14 +249,15 @@
 			return 0, err
 		}
 	}
-	if a.Close {
-		p.drop()
+	if a.Close || a.Left() > 0 {
+		p.drop(askedClose, nil)
 	}
 	return a.Status(), nil
 }
 
-func (p *poster) drop() {
+func (p *poster) drop(why reason, err error) {
 	if p.conn != nil {
+		p.log(why, err)
 		p.conn.Close()
 		p.conn = nil
 	}
--- a/internal/sender/relay.go
+++ b/internal/sender/relay.go
@@ -5,29 +5,24 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"math"
 	"strconv"
-	"time"
 
 	"flaxcove/choice"
 	"flaxcove/internal/http1"
 )
 
-type ctx = context.Context
-
 // answer is what an endpoint's answer says of a call.
 type answer struct {
-	result  choice.Result
-	final   bool
-	noSlot  bool
-	wait    choice.Time
-	report  []float64 // in the order of fields
-	fields  []string
-	states  map[choice.NoticeID]string // of a bulk call whose notices fared apart
-	close   bool
-	arrived time.Time
+	result choice.Result
+	final  bool
+	noSlot bool
+	wait   choice.Time
+	report []float64 // in the order of fields
+	fields []string
+	states map[choice.NoticeID]string // of a bulk call whose notices fared apart
+	close  bool
 }
 
 // of is an outcome by status. What has no meaning here may have run.
@@ -49,7 +44,7 @@
 
 // readAnswer takes out of an answer all that is needed, since its buffer goes on to the next one.
 func readAnswer(h *http1.Answer) answer {
-	a := answer{close: h.Close, arrived: time.Now()}
+	a := answer{close: h.Close}
 	a.result, a.final = of(h.Head.Status)
 	if v := h.Get("Retry-After"); v != nil {
 		a.wait = wait(v)
@@ -104,14 +99,14 @@
 }
 
 // cutOff is the outcome of a call whose connection ended before its answer was whole.
-func cutOff(c *call, status int, began bool) answer {
-	a := answer{result: choice.Reset, arrived: time.Now()}
+func cutOff(c *call, unsent bool, end *partial) answer {
+	a := answer{result: choice.Reset}
 	switch {
-	case !c.written && !began:
+	case unsent && !end.began:
 		a.result = choice.ConnectFailed
-	case status != 0 && (len(c.notices) == 1 || status != 200):
+	case end.status != 0 && (len(c.notices) == 1 || end.status != 200):
 		// The status line alone says how a call with one notice ended.
-		a.result, a.final = of(status)
+		a.result, a.final = of(end.status)
 	}
 	return a
 }
@@ -136,7 +131,7 @@
 
 // finish tells the module how a call ended, notice by notice.
 func (s *Sender) finish(c *call, a answer) {
-	delete(s.calls, c)
+	s.stirred = true // what the module makes of it is for the next turn, if not for this one
 	if c.probe {
 		s.module.Probed(c.e.id, a.result)
 		return
--- a/internal/sender/send.go
+++ b/internal/sender/send.go
@@ -6,10 +6,11 @@
 // given up on an open connection, or take a call of which a byte may be missing for one that ran.
 
 import (
+	"context"
 	"encoding/base64"
 	"errors"
 	"strconv"
-	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,9 +27,10 @@
 	// settleFor lies between the end of a given-up call's connection and what the module does next: its
 	// endpoint must see the end before a new call with the same notice, or counts two at once.
 	settleFor = 10 * time.Millisecond
-	readAhead = 4 << 10 // bytes behind an answer, which nobody asked for
 )
 
+var errUnasked = errors.New("bytes that nobody asked for")
+
 const (
 	linkIdle   reason = "idle"
 	unlisted   reason = "endpoint_unlisted"
@@ -51,7 +53,6 @@
 	began   choice.Time
 	lasts   choice.Time // the longest time-out of its notices
 	link    *link       // once it is up
-	written bool        // its last byte may have left
 	over    bool
 }
 
@@ -62,24 +63,31 @@
 	conn   netpoll.Connection
 	answer http1.Answer
 
-	call    *call // loop
+	asked atomic.Bool // a call was written and its answer has not come whole; shared with the loop
+
+	call    *call // loop, as all below
+	writing bool
+	unsent  bool // the last write did not bring its last byte away
+	ended   *partial
 	idleAt  time.Duration
 	why     reason
-	up      bool
 	closing bool
-	lock    sync.Mutex
-	bulk    bool // under lock: what the answer at hand is to
+}
+
+// partial is what had come of an answer when its connection ended.
+type partial struct {
+	status int
+	began  bool
 }
 
 type links struct {
 	open     int // idle, busy and coming up
 	mostOpen int
-	calls    map[*call]struct{} // those out; emptied as they end
+	dial     func(*call) // a test puts its own in place
 }
 
 func (l *links) init(cfg *config.Config, clients int) {
 	l.mostOpen = max(cfg.Settings.Slots+1, cfg.Limits.Sockets-clients-spareFDs)
-	l.calls = map[*call]struct{}{}
 }
 
 // startCalls lets the turn's calls leave.
@@ -93,10 +101,13 @@
 }
 
 func (s *Sender) start1(c *call) {
-	s.calls[c] = struct{}{}
 	for _, n := range c.notices {
 		// All of a call end together: none may be told its time-out while the call can still bring it about.
-		c.lasts = min(c.lasts, max(1, n.HardStop-c.began-s.cfg.Settings.Turn))
+		c.lasts = min(c.lasts, n.HardStop-s.Now()-s.cfg.Settings.Turn)
+	}
+	if c.lasts <= 0 {
+		s.connectFailed(c)
+		return
 	}
 	s.after(time.Duration(config.Nanoseconds(c.lasts)), func() { s.expire(c) })
 	if l := s.takeIdle(c.e); l != nil {
@@ -111,6 +122,10 @@
 	s.open++
 	c.e.links++
 	s.counts.connects++
+	s.dial(c)
+}
+
+func (s *Sender) connect(c *call) {
 	addr, within := c.e.addr, min(s.cfg.Settings.DialTimeout, c.lasts)
 	if s.cfg.Settings.DialTimeout == 0 {
 		within = c.lasts
@@ -154,12 +169,12 @@
 		s.connectFailed(c)
 		return
 	}
-	l := &link{s: s, e: c.e, conn: conn, up: true}
+	l := &link{s: s, e: c.e, conn: conn}
 	conn.SetWriteTimeout(time.Duration(config.Nanoseconds(max(1, c.lasts))))
 	conn.AddCloseCallback(func(netpoll.Connection) error {
 		// The loop may be the one that closes, so this must not wait for it.
-		status, began := l.answer.Status(), l.answer.Began()
-		go s.post(func() { s.linkEnded(l, status, began) })
+		end := &partial{l.answer.Status(), l.answer.Began()}
+		go s.post(func() { s.linkEnded(l, end) })
 		return nil
 	})
 	conn.SetOnRequest(l.onBytes)
@@ -239,17 +254,12 @@
 
 // write sends a call on a link. A goroutine does, since netpoll waits where the endpoint reads slowly.
 func (s *Sender) write(c *call, l *link) {
-	c.link, l.call = l, c
+	c.link, l.call, l.writing = l, c, true
+	l.asked.Store(true)
 	head, body := s.request(c)
-	l.lock.Lock()
-	l.bulk = len(c.notices) > 0 && c.e.bundle > 1 && len(c.notices) > 1
-	l.lock.Unlock()
-	c.written = true // from here on it cannot be told from outside the goroutine
 	go func() {
 		err := l.send(head, body)
-		if err != nil {
-			s.post(func() { s.unsent(c, l, err) })
-		}
+		s.post(func() { s.written(l, err) })
 	}()
 }
 
@@ -267,18 +277,16 @@
 	return w.Flush()
 }
 
-// unsent is told of a write that did not bring its last byte away. One that ran out of time may yet do so.
-func (s *Sender) unsent(c *call, l *link, err error) {
-	if !c.over {
-		c.written = errors.Is(err, netpoll.ErrWriteTimeout)
+// written is told how a write ended. One that ran out of time may yet bring its last byte away.
+func (s *Sender) written(l *link, err error) {
+	l.writing = false
+	if err != nil {
+		l.unsent = !errors.Is(err, netpoll.ErrWriteTimeout)
+		s.closeLink(l, unwritten)
+	}
+	if l.ended != nil {
+		s.cutOff(l)
 	}
-	s.closeLink(l, unwritten)
-}
-
-type bulkItem struct {
-	ID   string `json:"id"`
-	Key  string `json:"key"`
-	Body string `json:"body"`
 }
 
 func (s *Sender) request(c *call) (head, body []byte) {
@@ -308,20 +316,27 @@
 }
 
 // onBytes reads what an endpoint says and hands on each whole answer.
-func (l *link) onBytes(_ ctx, conn netpoll.Connection) error {
+func (l *link) onBytes(_ context.Context, conn netpoll.Connection) error {
 	r := conn.Reader()
 	piece, err := r.Next(r.Len())
 	if err != nil {
 		return err
 	}
-	err = l.answer.Feed(piece)
+	if l.asked.Load() {
+		err = l.answer.Feed(piece)
+	} else {
+		err = errUnasked
+	}
 	r.Release()
 	if err == nil && l.answer.Done {
 		a := readAnswer(&l.answer)
-		l.answer.Reset()
+		// Bytes behind an answer would be read as the start of the next.
+		a.close = a.close || l.answer.Left() > 0
+		l.answer = http1.Answer{}
+		l.asked.Store(false)
 		l.s.post(func() { l.s.answered(l, a) })
 	}
-	if err != nil || l.answer.Began() && len(piece) > 0 && l.answer.Left() > readAhead {
+	if err != nil {
 		l.s.post(func() { l.s.closeLink(l, badAnswer) })
 	}
 	return nil
@@ -353,7 +368,7 @@
 }
 
 // linkEnded hears of every link's end, ours or theirs.
-func (s *Sender) linkEnded(l *link, status int, began bool) {
+func (s *Sender) linkEnded(l *link, end *partial) {
 	if !l.closing {
 		l.closing, l.why = true, peerClosed
 		for i, other := range l.e.idle {
@@ -368,11 +383,18 @@
 	s.counts.linksEnded++
 	s.logEnd("endpoint", string(l.e.id), l.why, nil)
 	s.forget(l.e)
+	// Whether the last byte left decides what the end means, so the write is waited for.
+	if l.ended = end; !l.writing {
+		s.cutOff(l)
+	}
+}
+
+// cutOff ends the call of a connection that ended before its answer was whole.
+func (s *Sender) cutOff(l *link) {
 	c := l.call
 	l.call = nil
-	if c == nil || c.over {
-		return
+	if c != nil && !c.over {
+		c.over = true
+		s.finish(c, cutOff(c, l.unsent, l.ended))
 	}
-	c.over = true
-	s.finish(c, cutOff(c, status, began))
 }
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -9,6 +9,7 @@
 
 import (
 	"container/heap"
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -36,7 +37,8 @@
 	log    *zap.Logger
 	module *choice.Sender
 	names  directory.Names
-	start  time.Time // Now counts from here by the monotonic clock, so that it never steps back
+	start  time.Time            // Now counts from here by the monotonic clock, so that it never steps back
+	clock  func() time.Duration // since start
 	inbox  chan func()
 	stop   chan struct{} // closed at the end
 
@@ -47,7 +49,8 @@
 	failing  bool // the journal could not be written
 	ended    bool
 
-	drainAt time.Time // when the signal to end came
+	draining bool
+	drainAt  time.Duration // when the signal to end came
 
 	takeIn
 	admission
@@ -58,12 +61,29 @@
 
 // Start replays the journal, tells the module what it finds, and returns once clients may come.
 func Start(cfg *config.Config, log *zap.Logger) (*Sender, error) {
-	s := &Sender{cfg: cfg, log: log, start: time.Now(), inbox: make(chan func(), inboxSize), stop: make(chan struct{})}
+	start := time.Now()
+	s, err := open(cfg, log, start, func() time.Duration { return time.Since(start) })
+	if err != nil {
+		return nil, err
+	}
+	if err := s.listen(); err != nil {
+		return nil, errors.Join(err, s.journal.Close())
+	}
+	go s.watch(cfg.Known.Version)
+	return s, nil
+}
+
+// open makes a sender that knows what it owes and touches no socket yet.
+func open(cfg *config.Config, log *zap.Logger, start time.Time, clock func() time.Duration) (*Sender, error) {
+	s := &Sender{cfg: cfg, log: log, start: start, clock: clock, inbox: make(chan func(), inboxSize), stop: make(chan struct{})}
 	s.names = directory.Names{Zones: cfg.Zones, Kinds: cfg.Kinds}
 	s.takeIn.init(cfg)
 	s.routing.init()
 	s.links.init(cfg, s.clients.most)
 	s.book.init()
+	s.dial = s.connect
+	s.poster.log = func(why reason, err error) { s.logEnd("platform", cfg.Discovery, why, err) }
+	s.tell = func(body []byte) (int, error) { return s.poster.post(cfg.Discovery, body) }
 	unfinished, err := s.openJournal()
 	if err != nil {
 		return nil, err
@@ -73,11 +93,6 @@
 	for _, n := range unfinished {
 		s.module.Taken(n.told())
 	}
-	if err := s.listen(); err != nil {
-		s.journal.Close()
-		return nil, err
-	}
-	go s.watch(cfg.Known.Version)
 	return s, nil
 }
 
@@ -135,9 +150,9 @@
 	}
 }
 
-func (s *Sender) sinceStart() time.Duration { return time.Since(s.start) }
+func (s *Sender) sinceStart() time.Duration { return s.clock() }
 
-func (s *Sender) sinceDrain() time.Duration { return time.Since(s.drainAt) }
+func (s *Sender) sinceDrain() time.Duration { return s.clock() - s.drainAt }
 
 // nextTurn is when the next turn may come.
 func (s *Sender) nextTurn() time.Duration {
@@ -155,32 +170,32 @@
 		t := heap.Pop(&s.timers).(timer)
 		t.fire()
 	}
-	if !s.late() {
+	if !s.late() && !s.failing {
 		s.module.TurnEnd()
 	}
-	if !s.commit() {
-		s.failing, s.stirred = true, true
-		return
+	s.failing = !s.commit()
+	if s.failing {
+		s.stirred = true
+	} else {
+		s.answerAdmitted()
+		s.startCalls()
 	}
-	s.failing = false
-	s.answerAdmitted()
-	s.startCalls()
 	s.postEndings()
 	s.checkDrain()
 }
 
 func (s *Sender) drain() {
-	if !s.drainAt.IsZero() {
+	if s.draining {
 		return
 	}
-	s.drainAt = time.Now()
+	s.draining, s.drainAt = true, s.clock()
 	s.log.Info("draining", zap.Int("owed", len(s.owed)))
 	s.closeIdleClients()
 	s.after(endAfter, func() {})
 }
 
 func (s *Sender) checkDrain() {
-	if s.drainAt.IsZero() {
+	if !s.draining {
 		return
 	}
 	s.closeIdleClients()
--- /dev/null
+++ b/internal/sender/sender_test.go
@@ -0,0 +1,335 @@
+package sender
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"flaxcove/choice"
+	"flaxcove/internal/config"
+	"flaxcove/internal/directory"
+	"flaxcove/internal/http1"
+)
+
+// rig is a sender without sockets: a clock that stands, calls that go nowhere and a platform that a test speaks for.
+type rig struct {
+	s     *Sender
+	dir   string
+	clock time.Duration
+	calls []*call
+	up    bool // the platform answers
+}
+
+// boot is a settings object: status is replayable, order single-use; kind one takes bundles.
+const boot = `{"balancers":2,"quantum":5000000,"machineTypes":["one","many"],"zones":["z"],
+"bounds":{"maxAttempts":9,"maxOpen":%d,"connIdle":10000000000,"dialTimeout":1000000000,"probing":true,"retryAfter":true,"maxRetryAfter":2000000000},
+"classes":[{"name":"status","idempotency":"pure","aim":800000000,"deadline":6000000000,"worth":1},
+{"name":"order","idempotency":"side_effect","aim":4000000000,"deadline":20000000000,"worth":3}],
+"extra":{"bundleMax":[1,3],"callsOut":8},"rules":{"cold":1000000000,"coldFrom":0.5,"fallMultiple":2},"stats":{"fields":["x0","x1"]}}`
+
+const known = `{"version":1,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1","zone":"z","kind":"one","cell":1,"state":"up","weight":100},
+{"id":"b","addr":"127.0.0.1:2","zone":"z","kind":"many","cell":2,"state":"up","weight":100}]}`
+
+func configure(dir string, maxOpen int) *config.Config {
+	var b config.Boot
+	c := &config.Config{Name: "s", State: dir, Limits: config.Limits{MemoryMB: 192, Sockets: 256, DiskMB: 0.25},
+		Workloads: map[string]choice.WorkloadNo{"status": 0, "order": 1},
+		Zones:     map[string]choice.ZoneNo{"z": 0}, Kinds: map[string]choice.KindNo{"one": 0, "many": 1}}
+	for text, to := range map[string]any{fmt.Sprintf(boot, maxOpen): &b, known: &c.Known} {
+		if err := json.Unmarshal([]byte(text), to); err != nil {
+			fmt.Println(err)
+		}
+	}
+	c.Settings, _ = b.Settings()
+	return c
+}
+
+// start opens a sender on a folder; "" makes one. Starting again on the same folder is what a kill leaves.
+func start(dir string, maxOpen int) *rig {
+	if dir == "" {
+		dir, _ = os.MkdirTemp("", "sender")
+	}
+	r := &rig{dir: dir, clock: time.Minute, up: true}
+	s, err := open(configure(dir, maxOpen), zap.NewNop(), time.Unix(1e9, 0), func() time.Duration { return r.clock })
+	if err != nil {
+		fmt.Println(err)
+	}
+	s.dial = func(c *call) { r.calls = append(r.calls, c) }
+	s.tell = func(body []byte) (int, error) {
+		if !r.up {
+			return 0, os.ErrDeadlineExceeded
+		}
+		fmt.Print("platform: ", string(body))
+		return 204, nil
+	}
+	r.s = s
+	return r
+}
+
+// hand gives commands in, each in words, and prints what is answered by the end of the turn.
+func (r *rig) hand(commands ...string) *rig {
+	c := &client{room: make(chan struct{}, window), gone: true}
+	for _, text := range commands {
+		var args [][]byte
+		for _, word := range strings.Split(text, " ") {
+			args = append(args, []byte(word))
+		}
+		c.room <- struct{}{}
+		r.s.command(c, args)
+	}
+	r.turn(5 * time.Millisecond)
+	for _, line := range strings.Split(strings.TrimSpace(string(c.out)), "\r\n") {
+		fmt.Printf("client: %s\n", line)
+	}
+	return r
+}
+
+// turn lets time go on, ends a turn, and prints which calls left.
+func (r *rig) turn(after time.Duration) *rig {
+	for end := r.clock + after; r.clock < end; {
+		r.clock = max(r.clock+5*time.Millisecond, min(end, r.s.timers.due()))
+		r.s.turn()
+		for r.s.posting && r.s.endings != nil && r.up {
+			(<-r.s.inbox)()
+		}
+	}
+	for _, c := range r.calls {
+		if !c.over {
+			head, _ := r.s.request(c)
+			fmt.Printf("call %s: %s", c.e.id, strings.SplitAfter(string(head), "\r\n")[0])
+			for _, n := range c.notices {
+				fmt.Println("  ", n.ID)
+			}
+		}
+	}
+	return r
+}
+
+// answer ends the last call that is out with what an endpoint might say.
+func (r *rig) answer(text string) *rig {
+	c := r.calls[len(r.calls)-1]
+	r.calls = r.calls[:len(r.calls)-1]
+	var a http1.Answer
+	err := a.Feed([]byte(strings.ReplaceAll(text, "\n", "\r\n")))
+	c.over = true
+	if err != nil || !a.Done {
+		r.s.finish(c, cutOff(c, text == "unsent", &partial{a.Status(), a.Began()}))
+	} else {
+		r.s.finish(c, readAnswer(&a))
+	}
+	return r
+}
+
+func (r *rig) list(text string) *rig {
+	var l directory.List
+	json.Unmarshal([]byte(text), &l)
+	r.s.listNews(l, false)
+	return r
+}
+
+func (r *rig) owed() *rig {
+	fmt.Println("owed:", len(r.s.owed), "to the platform:", len(r.s.endings))
+	return r
+}
+
+const (
+	ok   = "HTTP/1.1 200 OK\nContent-Length: 0\n\n"
+	full = "HTTP/1.1 429 Wait\nRetry-After: 0.4\nContent-Length: 0\n\n"
+	lost = "HTTP/1.1 500 Error\nContent-Length: 0\n\n"
+)
+
+// A killed sender owes what it had taken on: what may be repeated goes out again, and a single-use notice with a
+// dispatch out, which may have run, is given up and never sent. Once ended, nothing comes back at a third start.
+func Example_restart() {
+	r := start("", 100).hand("OUT.ADD 00 st c=status,d=6000,dest=1 x", "OUT.ADD 00 or c=order,d=20000,dest=1 x")
+	fmt.Println("killed")
+	r = start(r.dir, 100).owed().turn(5 * time.Millisecond).answer(ok).owed()
+	r.turn(5 * time.Millisecond)
+	fmt.Println("killed")
+	start(r.dir, 100).owed().turn(time.Second)
+	os.RemoveAll(r.dir)
+	// Output:
+	// call a: POST /inbox HTTP/1.1
+	//    or
+	// call a: POST /inbox HTTP/1.1
+	//    st
+	// client: +OK
+	// client: +OK
+	// killed
+	// owed: 2 to the platform: 1
+	// platform: {"message":"or","outcome":"given_up"}
+	// call a: POST /inbox HTTP/1.1
+	//    st
+	// owed: 0 to the platform: 0
+	// killed
+	// owed: 0 to the platform: 0
+}
+
+// A refusal proves that a single-use notice has not run, so after a kill it is sent again. A wait ends with a restart.
+func Example_restartAfterRefusal() {
+	r := start("", 100).hand("OUT.ADD 00 or c=order,d=20000,dest=1 x").answer(full).turn(5 * time.Millisecond)
+	fmt.Println("killed")
+	start(r.dir, 100).owed().turn(5 * time.Millisecond)
+	os.RemoveAll(r.dir)
+	// Output:
+	// call a: POST /inbox HTTP/1.1
+	//    or
+	// client: +OK
+	// killed
+	// owed: 1 to the platform: 0
+	// call a: POST /inbox HTTP/1.1
+	//    or
+}
+
+// An ending is owed until the platform has answered, through a kill too, and so is one whose time ran out meanwhile.
+func Example_platformSilent() {
+	r := start("", 100)
+	r.up = false
+	r.hand("OUT.ADD 00 or c=order,d=20000,dest=1 x", "OUT.ADD 00 late c=status,d=6000,dest=9 x").answer("HTTP/1.1 200")
+	r.turn(7 * time.Second).owed()
+	fmt.Println("killed")
+	start(r.dir, 100).owed().turn(5 * time.Millisecond).owed()
+	os.RemoveAll(r.dir)
+	// Output:
+	// call a: POST /inbox HTTP/1.1
+	//    or
+	// client: +OK
+	// client: +OK
+	// owed: 2 to the platform: 2
+	// killed
+	// owed: 2 to the platform: 2
+	// platform: {"message":"or","outcome":"given_up"}
+	// {"message":"late","outcome":"handed_back","retry_in_ms":200}
+	// owed: 0 to the platform: 0
+}
+
+// What is wrong with a command is said and takes nothing on; an id handed in once more is taken on already.
+func Example_commands() {
+	r := start("", 3).hand("PING", "ping hello", "FLUSHALL", "OUT.ADD 00 a", "OUT.ADD 00 a c=nil,d=1,dest=1 x",
+		"OUT.ADD 00 a c=status,d=-1,dest=1 x", "OUT.ADD 00 a c=status,d=1e99,dest=1 x", "OUT.ADD 00 a c=status,d=NaN,dest=1 x",
+		"OUT.ADD 00 a c=status,d=900,dest=1.5 x", "OUT.ADD 00 \"a c=status,d=900,dest=1 x", "OUT.ADD 00 new c=status,d=900,dest=9,x=y,r=1 x")
+	r.hand("OUT.ADD 00 new c=status,d=900,dest=9 x", "OUT.ADD 00 soon c=status,d=1,dest=9 x")
+	r.hand("OUT.ADD 00 two c=status,d=6000,dest=9 x", "OUT.ADD 00 three c=status,d=6000,dest=9 x", "OUT.ADD 00 four c=status,d=6000,dest=9 x")
+	os.RemoveAll(r.dir)
+	// Output:
+	// client: +PONG
+	// client: $5
+	// client: hello
+	// client: -ERR unknown command
+	// client: -ERR OUT.ADD takes a key, an id, a list and a body, not 2 arguments
+	// client: -ERR c: no class "nil"
+	// client: -ERR d: milliseconds, above 0 and within a day
+	// client: -ERR d: milliseconds, above 0 and within a day
+	// client: -ERR d: milliseconds, above 0 and within a day
+	// client: -ERR dest: a whole number
+	// client: -ERR key and id: up to 128 visible characters each
+	// client: +OK
+	// client: +OK
+	// client: -BUSY 200
+	// client: +OK
+	// client: -BUSY 200
+	// client: -BUSY 200
+}
+
+// The journal keeps within its part of the disk, refuses what does not fit, and comes back whole.
+func Example_journalFull() {
+	r := start("", 1000)
+	body := strings.Repeat("x", 20000)
+	for i := range 4 {
+		for j := range 3 {
+			r.hand(fmt.Sprintf("OUT.ADD 00 n%d-%d c=order,d=900000,dest=9 %s", i, j, body))
+		}
+		for id, n := range r.s.owed {
+			if i < 3 && id != "n0-0" {
+				r.s.over(n)
+			}
+		}
+	}
+	info, _ := os.Stat(r.dir + "/notices.log")
+	fmt.Println("under the limit:", info.Size() < 250000, "rewritten:", r.s.counts.rewritings > 0)
+	start(r.dir, 1000).owed()
+	os.RemoveAll(r.dir)
+	// Output:
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// under the limit: true rewritten: true
+	// owed: 4 to the platform: 0
+}
+
+// Notices of one turn to one endpoint share a call, up to what its kind takes, and each fares as its own state
+// says; one that the answer leaves out may have run.
+func Example_bundle() {
+	r := start("", 100).hand("OUT.ADD 0a o1 c=order,d=20000,dest=2 x", "OUT.ADD 0b o2 c=order,d=20000,dest=2 x",
+		"OUT.ADD 0c o3 c=order,d=20000,dest=2 x")
+	_, body := r.s.request(r.calls[0])
+	fmt.Println(string(body))
+	r.answer("HTTP/1.1 200 OK\nContent-Length: 58\n\n" + `[{"id":"o1","state":"ok"},  {"id":"o2","state":"later"}]   `)
+	r.turn(5 * time.Millisecond).owed()
+	os.RemoveAll(r.dir)
+	// Output:
+	// call b: POST /inbox/bulk HTTP/1.1
+	//    o3
+	//    o2
+	//    o1
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// [{"id":"o3","key":"0c","body":"eA=="},{"id":"o2","key":"0b","body":"eA=="},{"id":"o1","key":"0a","body":"eA=="}]
+	// platform: {"message":"o3","outcome":"given_up"}
+	// owed: 1 to the platform: 0
+}
+
+// How a call of a single-use notice ended decides whether it may be sent again.
+func Example_outcomes() {
+	for _, text := range []string{ok, lost, full, "HTTP/1.1 503 Full\nContent-Length: 0\n\n", "HTTP/1.1 503 Full\nX-No-Slot: 1\nContent-Length: 0\n\n",
+		"HTTP/1.1 410 Gone\nContent-Length: 0\n\n", "HTTP/1.1 504 Out\nContent-Length: 0\n\n", "HTTP/1.1 200 OK\nContent-", "HTTP/1.1 429 Wait\nCont", "HTTP/1.", "", "unsent", "nonsense\n"} {
+		r := start("", 100)
+		r.s.command(&client{room: make(chan struct{}, 1), gone: true}, [][]byte{[]byte("OUT.ADD"), []byte("0"), []byte("id"), []byte("c=order,d=20000,dest=1"), nil})
+		r.s.turn()
+		n := r.s.owed["id"]
+		r.answer(text)
+		fmt.Printf("%-20.20q may have run: %-5v owed: %v\n", text, n.MayRun, r.s.owed["id"] != nil && n.ending.what == endNone)
+		os.RemoveAll(r.dir)
+	}
+	// Output:
+	// "HTTP/1.1 200 OK\nCon may have run: false owed: false
+}
+
+// A planned end: no new call leaves late, what is owed stays in the journal, and what comes late is refused.
+func Example_drain() {
+	r := start("", 100)
+	r.s.drain()
+	r.hand("OUT.ADD 00 early c=status,d=6000,dest=1 x").answer(full)
+	r.turn(3 * time.Second)
+	r.hand("OUT.ADD 00 late c=status,d=6000,dest=1 x").owed()
+	r.turn(400 * time.Millisecond)
+	fmt.Println("ended:", r.s.ended)
+	start(r.dir, 100).owed()
+	os.RemoveAll(r.dir)
+	// Output:
+}
+
+// A list that drops an endpoint, or moves it, takes its connections along; unreadable entries are left out.
+func Example_list() {
+	r := start("", 100)
+	r.list(`{"version":2,"full":false,"servers":[{"id":"a","addr":"","cell":1,"state":"removed"},{"id":"b","cell":2,"state":"odd"},
+		{"id":"c","addr":"127.0.0.1:3","zone":"z","kind":"one","cell":1,"state":"up","weight":1}]}`)
+	r.hand("OUT.ADD 00 x c=status,d=6000,dest=1 x")
+	fmt.Println(len(r.s.endpoints), r.s.endpoints["a"] == nil)
+	os.RemoveAll(r.dir)
+	// Output:
+}
