Tests of the sender's units: restarts, endings, outcomes, bundles, drains; a watch's last lines count

The tests found two faults: lines of the list that came in one piece with a watch's end were dropped (directory.follow returned on the last chunk before it read them), and a broken chunked body was left visible. A refusal names a time only where the module does.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -45,4 +45,17 @@
 		load(strings.Replace(good, change[0], change[1], 1))
 	}
 	// Output:
+	// s 127.0.0.1:1 127.0.0.1:2 state -8349901503567500956 {64 128 3} 4 map[status:0]
+	// other 127.0.0.1:1 127.0.0.1:2 /run/state -8349901503567500956 {64 128 3} 4 map[status:0]
+	// EDGE_CONFIG: open /nowhere: no such file or directory
+	// FILE: field name: missing, and EDGE_NAME is not set
+	// FILE: field listen: address here: missing port in address
+	// FILE: field seed: "12 monkeys" is not a hexadecimal number of 64 bits
+	// FILE: field limits.sockets: 3 is under 64
+	// FILE: field limits.memory_mb: string does not fit
+	// FILE: field limits.disk_mb: 0 is under 0.25
+	// FILE: field settings: extra.callsOut: missing
+	// FILE: field settings: classes[0].idempotency: unknown word "magic"
+	// FILE: field settings: missing
+	// FILE: invalid character ',' looking for beginning of object key string
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -121,21 +121,16 @@
 			}
 			in, reading = in[n:], true
 		}
-		for {
-			data, took, done, err := chunks.Next(in)
-			if err != nil {
+		over := false
+		for data := in; !over && len(data) > 0; {
+			var took int
+			if data, took, over, err = chunks.Next(in); err != nil {
 				return err
 			}
 			in = in[took:]
 			if line = append(line, data...); len(line) > maxLine {
 				return errors.New("a line is too long")
 			}
-			if done {
-				return errors.New("the watch was ended")
-			}
-			if len(data) == 0 {
-				break
-			}
 		}
 		for {
 			end := bytes.IndexByte(line, '\n')
@@ -152,6 +147,9 @@
 			}
 			line = append(line[:0], line[end+1:]...)
 		}
+		if over {
+			return errors.New("the watch was ended")
+		}
 	}
 }
 
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -256,7 +256,9 @@
 				return ErrSize
 			}
 			a.at += took
-			if a.Body, a.Done = a.body, done; !done && len(data) == 0 {
+			if done {
+				a.Body, a.Done = a.body, true
+			} else if len(data) == 0 {
 				return nil
 			}
 		}
--- a/internal/sender/admit.go
+++ b/internal/sender/admit.go
@@ -21,7 +21,6 @@
 const (
 	maxID   = 128
 	maxHold = 24 * 60 * 60 * 1000 // milliseconds that a notice may ask for
-	busyFor = 500                 // milliseconds that a refusal names where the module names none
 	// The file is rewritten before it fills fillShare of the disk, into one that holds what is owed, which may
 	// take liveShare; while both exist both count. The gap between the two keeps rewritings rare.
 	fillShare  = 0.58
@@ -114,7 +113,7 @@
 		return
 	}
 	if len(s.owed) >= s.cfg.Settings.MaxOpen || !s.room(n) || s.failing || s.late() {
-		s.refuse(r, busyFor)
+		s.refuse(r, 0)
 		return
 	}
 	n.reply = r
@@ -126,9 +125,14 @@
 // late tells whether a planned end is too near to begin anything.
 func (s *Sender) late() bool { return s.draining && s.sinceDrain() >= sendFor }
 
+// refuse tells a client that it may come again, and when, if that is known.
 func (s *Sender) refuse(r *reply, ms int64) {
 	s.counts.refused++
-	s.answer(r, resp.AppendError(nil, "BUSY "+strconv.FormatInt(max(1, ms), 10)))
+	text := "BUSY"
+	if ms > 0 {
+		text += " " + strconv.FormatInt(ms, 10)
+	}
+	s.answer(r, resp.AppendError(nil, text))
 }
 
 func (s *Sender) read(args [][]byte) (*notice, error) {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -100,7 +100,7 @@
 	for _, c := range r.calls {
 		if !c.over {
 			head, _ := r.s.request(c)
-			fmt.Printf("call %s: %s", c.e.id, strings.SplitAfter(string(head), "\r\n")[0])
+			fmt.Printf("call %s: %s\n", c.e.id, strings.Split(string(head), " HTTP")[0])
 			for _, n := range c.notices {
 				fmt.Println("  ", n.ID)
 			}
@@ -114,10 +114,13 @@
 	c := r.calls[len(r.calls)-1]
 	r.calls = r.calls[:len(r.calls)-1]
 	var a http1.Answer
-	err := a.Feed([]byte(strings.ReplaceAll(text, "\n", "\r\n")))
+	var err error
+	if text != unsent {
+		err = a.Feed([]byte(strings.ReplaceAll(text, "\n", "\r\n")))
+	}
 	c.over = true
 	if err != nil || !a.Done {
-		r.s.finish(c, cutOff(c, text == "unsent", &partial{a.Status(), a.Began()}))
+		r.s.finish(c, cutOff(c, text == unsent, &partial{a.Status(), a.Began()}))
 	} else {
 		r.s.finish(c, readAnswer(&a))
 	}
@@ -140,6 +143,8 @@
 	ok   = "HTTP/1.1 200 OK\nContent-Length: 0\n\n"
 	full = "HTTP/1.1 429 Wait\nRetry-After: 0.4\nContent-Length: 0\n\n"
 	lost = "HTTP/1.1 500 Error\nContent-Length: 0\n\n"
+
+	unsent = "its last byte was not written"
 )
 
 // A killed sender owes what it had taken on: what may be repeated goes out again, and a single-use notice with a
@@ -153,16 +158,16 @@
 	start(r.dir, 100).owed().turn(time.Second)
 	os.RemoveAll(r.dir)
 	// Output:
-	// call a: POST /inbox HTTP/1.1
+	// call a: POST /inbox
 	//    or
-	// call a: POST /inbox HTTP/1.1
+	// call a: POST /inbox
 	//    st
 	// client: +OK
 	// client: +OK
 	// killed
 	// owed: 2 to the platform: 1
 	// platform: {"message":"or","outcome":"given_up"}
-	// call a: POST /inbox HTTP/1.1
+	// call a: POST /inbox
 	//    st
 	// owed: 0 to the platform: 0
 	// killed
@@ -176,12 +181,12 @@
 	start(r.dir, 100).owed().turn(5 * time.Millisecond)
 	os.RemoveAll(r.dir)
 	// Output:
-	// call a: POST /inbox HTTP/1.1
+	// call a: POST /inbox
 	//    or
 	// client: +OK
 	// killed
 	// owed: 1 to the platform: 0
-	// call a: POST /inbox HTTP/1.1
+	// call a: POST /inbox
 	//    or
 }
 
@@ -195,10 +200,11 @@
 	start(r.dir, 100).owed().turn(5 * time.Millisecond).owed()
 	os.RemoveAll(r.dir)
 	// Output:
-	// call a: POST /inbox HTTP/1.1
+	// call a: POST /inbox
 	//    or
 	// client: +OK
 	// client: +OK
+	// call a: GET /-/healthy
 	// owed: 2 to the platform: 2
 	// killed
 	// owed: 2 to the platform: 2
@@ -230,9 +236,10 @@
 	// client: +OK
 	// client: +OK
 	// client: -BUSY 200
+	// platform: {"message":"new","outcome":"handed_back","retry_in_ms":200}
 	// client: +OK
-	// client: -BUSY 200
-	// client: -BUSY 200
+	// client: +OK
+	// client: -BUSY
 }
 
 // The journal keeps within its part of the disk, refuses what does not fit, and comes back whole.
@@ -281,7 +288,7 @@
 	r.turn(5 * time.Millisecond).owed()
 	os.RemoveAll(r.dir)
 	// Output:
-	// call b: POST /inbox/bulk HTTP/1.1
+	// call b: POST /inbox/bulk
 	//    o3
 	//    o2
 	//    o1
@@ -296,9 +303,11 @@
 // How a call of a single-use notice ended decides whether it may be sent again.
 func Example_outcomes() {
 	for _, text := range []string{ok, lost, full, "HTTP/1.1 503 Full\nContent-Length: 0\n\n", "HTTP/1.1 503 Full\nX-No-Slot: 1\nContent-Length: 0\n\n",
-		"HTTP/1.1 410 Gone\nContent-Length: 0\n\n", "HTTP/1.1 504 Out\nContent-Length: 0\n\n", "HTTP/1.1 200 OK\nContent-", "HTTP/1.1 429 Wait\nCont", "HTTP/1.", "", "unsent", "nonsense\n"} {
+		"HTTP/1.1 410 Gone\nContent-Length: 0\n\n", "HTTP/1.1 504 Out\nContent-Length: 0\n\n", "HTTP/1.1 200 OK\nContent-", "HTTP/1.1 429 Wait\nCont", "HTTP/1.", "", unsent, "nonsense\n"} {
 		r := start("", 100)
-		r.s.command(&client{room: make(chan struct{}, 1), gone: true}, [][]byte{[]byte("OUT.ADD"), []byte("0"), []byte("id"), []byte("c=order,d=20000,dest=1"), nil})
+		c := &client{room: make(chan struct{}, 1), gone: true}
+		c.room <- struct{}{}
+		r.s.command(c, [][]byte{[]byte("OUT.ADD"), []byte("0"), []byte("id"), []byte("c=order,d=20000,dest=1"), nil})
 		r.s.turn()
 		n := r.s.owed["id"]
 		r.answer(text)
@@ -306,7 +315,19 @@
 		os.RemoveAll(r.dir)
 	}
 	// Output:
-	// "HTTP/1.1 200 OK\nCon may have run: false owed: false
+	// "HTTP/1.1 200 OK\nCont" may have run: false owed: false
+	// "HTTP/1.1 500 Error\nC" may have run: true  owed: false
+	// "HTTP/1.1 429 Wait\nRe" may have run: false owed: true
+	// "HTTP/1.1 503 Full\nCo" may have run: false owed: true
+	// "HTTP/1.1 503 Full\nX-" may have run: false owed: true
+	// "HTTP/1.1 410 Gone\nCo" may have run: false owed: false
+	// "HTTP/1.1 504 Out\nCon" may have run: false owed: true
+	// "HTTP/1.1 200 OK\nCont" may have run: false owed: false
+	// "HTTP/1.1 429 Wait\nCo" may have run: false owed: true
+	// "HTTP/1."            may have run: true  owed: false
+	// ""                   may have run: true  owed: false
+	// "its last byte was no" may have run: false owed: true
+	// "nonsense\n"         may have run: true  owed: false
 }
 
 // A planned end: no new call leaves late, what is owed stays in the journal, and what comes late is refused.
@@ -321,6 +342,13 @@
 	start(r.dir, 100).owed()
 	os.RemoveAll(r.dir)
 	// Output:
+	// call a: POST /inbox
+	//    early
+	// client: +OK
+	// client: -BUSY
+	// owed: 1 to the platform: 0
+	// ended: true
+	// owed: 1 to the platform: 0
 }
 
 // A list that drops an endpoint, or moves it, takes its connections along; unreadable entries are left out.
@@ -332,4 +360,8 @@
 	fmt.Println(len(r.s.endpoints), r.s.endpoints["a"] == nil)
 	os.RemoveAll(r.dir)
 	// Output:
+	// call c: POST /inbox
+	//    x
+	// client: +OK
+	// 2 true
 }
