--- a/cmd/flaxcove/main.go
+++ b/cmd/flaxcove/main.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
@@ -33,6 +34,12 @@
 		Usage: "take notices from clients and deliver them to partners' endpoints",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "run one sender, as EDGE_CONFIG and the other EDGE_ variables say", Action: serve},
+			{Name: "add", Usage: "hand one notice to a running sender", ArgsUsage: "BODY", Action: add, Flags: []cli.Flag{addr,
+				&cli.StringFlag{Name: "class", Usage: "its workload, as the settings name it", Required: true},
+				&cli.Int64Flag{Name: "dest", Usage: "the number of its destination", Required: true},
+				&cli.DurationFlag{Name: "within", Usage: "how long it may still be delivered", Value: 5 * time.Second}}},
+			{Name: "counters", Usage: "print a running sender's counters", Action: counters, Flags: []cli.Flag{addr}},
+			{Name: "ping", Usage: "ask a sender whether it is ready", Action: ping, Flags: []cli.Flag{addr}},
 			{Name: "check", Usage: "read the configuration and say what is wrong with it", Action: check},
 			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
 				_, err := fmt.Println("flaxcove", version, runtime.Version())
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -39,6 +39,9 @@
 // comes after the first broken record and tells how many bytes that was.
 func Open(dir string, limit int64, replay func(record []byte)) (j *Journal, dropped int64, err error) {
 	j = &Journal{dir: dir, limit: limit}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, 0, fmt.Errorf("state folder: %w", err)
+	}
 	// A rewriting that was cut off counts against the limit and holds nothing of its own.
 	if err := os.Remove(j.path("new")); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, 0, fmt.Errorf("state folder: %w", err)
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -88,6 +88,32 @@
 	return n, at + 1 + end + 1, nil
 }
 
+// Reply reads one answer from the start of buf: a simple string, an error or a bulk string. Its mark tells which.
+// It took 0 bytes while it has not come whole.
+func Reply(buf []byte) (mark byte, text []byte, took int, err error) {
+	if len(buf) == 0 {
+		return 0, nil, 0, nil
+	}
+	switch mark = buf[0]; mark {
+	case '+', '-':
+		end := bytes.Index(buf, []byte("\r\n"))
+		if end < 0 {
+			if len(buf) > MaxBulk {
+				return 0, nil, 0, ErrLength
+			}
+			return 0, nil, 0, nil
+		}
+		return mark, buf[1:end], end + 2, nil
+	case '$':
+		size, from, err := length(buf, 0, '$', MaxBulk, ErrNoBulk)
+		if from == 0 || err != nil || len(buf) < from+size+2 {
+			return 0, nil, 0, err
+		}
+		return mark, buf[from : from+size], from + size + 2, nil
+	}
+	return 0, nil, 0, ErrNoBulk
+}
+
 // AppendSimple adds a simple string, which must hold no line end.
 func AppendSimple(out []byte, text string) []byte {
 	return append(append(append(out, '+'), text...), "\r\n"...)
--- /dev/null
+++ b/internal/sender/sockets_test.go
@@ -0,0 +1,144 @@
+package sender
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"flaxcove/internal/directory"
+	"flaxcove/internal/resp"
+)
+
+// world stands in for discovery, endpoints and platform, and keeps what each notice met.
+type world struct {
+	sync.Mutex
+	met map[string][]string
+}
+
+func (w *world) meets(id, what string) {
+	w.Lock()
+	defer w.Unlock()
+	w.met[id] = append(w.met[id], what)
+}
+
+func (w *world) told(id string) string {
+	w.Lock()
+	defer w.Unlock()
+	return strings.Join(w.met[id], ", ")
+}
+
+func (w *world) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	switch r.URL.Path {
+	case "/api/targets":
+		<-r.Context().Done()
+	case "/v1/outcomes":
+		var line struct{ Message, Outcome string }
+		for d := json.NewDecoder(strings.NewReader(string(body))); d.Decode(&line) == nil; {
+			w.meets(line.Message, line.Outcome)
+		}
+		out.WriteHeader(http.StatusNoContent)
+	case "/inbox":
+		id := r.Header.Get("X-Request-Id")
+		w.meets(id, string(body))
+		conn, _, err := out.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		io.WriteString(conn, string(body))
+		if strings.HasPrefix(id, "slow") {
+			conn.(*net.TCPConn).Read(make([]byte, 1)) // until the sender gives up
+		}
+	}
+}
+
+// Over real sockets, each notice ends as its endpoint's answer says, wherever the connection then breaks; a broken
+// command is answered once and closed; and a planned end leaves nothing behind.
+func TestSockets(t *testing.T) {
+	w := &world{met: map[string][]string{}}
+	server := httptest.NewServer(w)
+	defer server.Close()
+	addr := server.Listener.Addr().String()
+	answers := []struct{ id, body, ends string }{
+		{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", ""},
+		{"closes", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", ""},
+		{"half", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", ""},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", ""},
+		{"extra", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 500 Late\r\n\r\n", ""},
+		{"silent", " ", "given_up"},
+		{"nonsense", "220 mail\r\n", "given_up"},
+		{"error", "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n", "given_up"},
+		{"gone", "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n", ""},
+		{"slow", "HTTP/1.1 2", "given_up"},
+	}
+	cfg := configure(t.TempDir(), 100)
+	cfg.Listen, cfg.Discovery = "127.0.0.1:0", addr
+	cfg.Known.Servers = nil
+	for i := range answers {
+		cfg.Known.Servers = append(cfg.Known.Servers, directory.Entry{ID: answers[i].id, Addr: addr, Zone: "z", Kind: "one", Cell: float64(i), State: "up", Weight: 100})
+	}
+	s, err := Start(cfg, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		s.Run()
+		close(done)
+	}()
+	conn, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	in := bufio.NewReader(conn)
+	for i, a := range answers {
+		hold := "20000"
+		if a.id == "slow" {
+			hold = "1500"
+		}
+		text := resp.AppendCommand(nil, []byte("OUT.ADD"), []byte("0"), []byte(a.id), fmt.Appendf(nil, "c=order,d=%s,dest=%d", hold, i), []byte(a.body))
+		conn.Write(text[:20])
+		time.Sleep(time.Millisecond)
+		conn.Write(text[20:])
+		if line, err := in.ReadString('\n'); line != "+OK\r\n" {
+			t.Fatalf("%s: %q %v", a.id, line, err)
+		}
+	}
+	for _, a := range answers {
+		want := a.body
+		if a.ends != "" {
+			want += ", " + a.ends
+		}
+		for end := time.Now().Add(30 * time.Second); w.told(a.id) != want && time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if got := w.told(a.id); got != want {
+			t.Errorf("%s: %q, want %q", a.id, got, want)
+		}
+	}
+	io.WriteString(conn, "*1\r\n$4\r\nPING\r\nnonsense\r\n*1\r\n$4\r\nPING\r\n")
+	rest, _ := io.ReadAll(in)
+	if got := string(rest); got != "+PONG\r\n-ERR protocol: a command is an array of bulk strings\r\n" {
+		t.Errorf("after a broken command: %q", got)
+	}
+	s.Drain()
+	<-done
+	if len(s.owed) != 0 {
+		t.Errorf("%d notices owed at the end", len(s.owed))
+	}
+	if files, _ := os.ReadDir(cfg.State); len(files) != 1 {
+		t.Errorf("%d files in the state folder", len(files))
+	}
+}
