A wait in any answer to a bundle binds; probes ask Open too; a client that sends on regardless is closed

A probe whose connection took long could leave into a wait (send.dialed asked Open for calls only). While a client's window is full netpoll goes on reading for us without a bound, so 1 MiB unread ends it.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -371,3 +371,38 @@
 	// 4000.0  dispatch q to a
 	// cold from: 35000
 }
+
+// A connection may take so long that a wait or a drain is told before the dispatch can leave on it.
+func Example_open() {
+	d := open(plain()).take(0, 1, "one")
+	fmt.Println(d.s.Open("a"), d.s.Open("b"), d.s.Open("nobody"))
+	d.ended(Full, 300*Millisecond, "a", "one")
+	fmt.Println(d.s.Open("a"))
+	d.mute = true
+	d.run(400 * Millisecond)
+	fmt.Println(d.s.Open("a"))
+	d.s.ListNews([]Entry{{Endpoint: "a", Destination: 1, Stage: Draining}}, false, false)
+	fmt.Println(d.s.Open("a"))
+	// Output:
+	// 0.0     dispatch one to a
+	// true false false
+	// false
+	// true
+	// false
+}
+
+// What an earlier life of the sender may have run: a single-use notice is given up, a tokened one goes out again
+// within its window and zone, a replayable one at once.
+func Example_earlierLife() {
+	d := open(plain())
+	for i, id := range []NoticeID{"replayable", "tokened", "single-use"} {
+		d.s.Taken(Notice{ID: id, Workload: WorkloadNo(i), Destination: 1, HardStop: 6 * Second, MayRun: true})
+	}
+	d.s.Taken(Notice{ID: "out of its window", Workload: 1, Destination: 1, HardStop: 6 * Second, MayRun: true, RanAt: -3 * Second})
+	d.s.TurnEnd()
+	// Output:
+	// 0.0     give up single-use
+	// 0.0     give up out of its window
+	// 0.0     dispatch tokened to a
+	// 0.0     dispatch replayable to a
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -23,8 +23,9 @@
 const (
 	path    = "/api/targets"
 	dialFor = time.Second
-	// quietFor is how long a watch may say nothing: an empty line is due every two seconds.
-	quietFor = 5 * time.Second
+	// quietFor is how long a watch may say nothing: an empty line is due every two seconds, and news counts as told
+	// after six.
+	quietFor = 4500 * time.Millisecond
 	pause    = 300 * time.Millisecond // before a watch is asked for again, twice it at most
 	maxLine  = 4 << 20                // a whole list of some ten thousand endpoints
 )
--- a/internal/sender/relay.go
+++ b/internal/sender/relay.go
@@ -146,8 +146,8 @@
 				o.Result, o.Final = of(status)
 			}
 		}
-		if o.Result != choice.Full {
-			o.Wait = 0
+		if len(c.notices) == 1 && o.Result != choice.Full {
+			o.Wait = 0 // a wait goes with a refusal, but with any answer to a bundle
 		}
 		n.out = nil
 		s.record(n, c, o)
--- a/internal/sender/send.go
+++ b/internal/sender/send.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/base64"
 	"errors"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -185,7 +186,7 @@
 	switch {
 	case c.over:
 		s.makeIdle(l)
-	case !c.probe && !s.module.Open(c.e.id) || c.e.gone:
+	case !s.module.Open(c.e.id):
 		// Told to wait, or of a drain, while the connection came up: the call must not leave.
 		s.makeIdle(l)
 		s.connectFailed(c)
@@ -216,12 +217,7 @@
 }
 
 func (s *Sender) dropIdle(l *link, why reason) {
-	for i, other := range l.e.idle {
-		if other == l {
-			l.e.idle = append(l.e.idle[:i], l.e.idle[i+1:]...)
-			break
-		}
-	}
+	l.e.idle = slices.DeleteFunc(l.e.idle, func(other *link) bool { return other == l })
 	s.closeLink(l, why)
 }
 
@@ -371,13 +367,8 @@
 func (s *Sender) linkEnded(l *link, end *partial) {
 	if !l.closing {
 		l.closing, l.why = true, peerClosed
-		for i, other := range l.e.idle {
-			if other == l {
-				l.e.idle = append(l.e.idle[:i], l.e.idle[i+1:]...)
-				break
-			}
-		}
 	}
+	l.e.idle = slices.DeleteFunc(l.e.idle, func(other *link) bool { return other == l })
 	s.open--
 	l.e.links--
 	s.counts.linksEnded++
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -300,6 +300,24 @@
 	// owed: 1 to the platform: 0
 }
 
+// A wait in the answer to a bundle binds whatever became of its notices.
+func Example_bundleWait() {
+	r := start("", 100).hand("OUT.ADD 0 s1 c=status,d=6000,dest=2 x", "OUT.ADD 0 s2 c=status,d=6000,dest=2 x")
+	r.answer("HTTP/1.1 200 OK\nRetry-After: 0.7\nContent-Length: 54\n\n" + `[{"id":"s1","state":"ok"},{"id":"s2","state":"error"}]`)
+	r.turn(690 * time.Millisecond)
+	fmt.Println("the wait is over")
+	r.turn(300 * time.Millisecond)
+	os.RemoveAll(r.dir)
+	// Output:
+	// call b: POST /inbox/bulk
+	//    s2
+	//    s1
+	// client: +OK
+	// client: +OK
+	// the wait is over
+	// call b: GET /-/healthy
+}
+
 // How a call of a single-use notice ended decides whether it may be sent again.
 func Example_outcomes() {
 	for _, text := range []string{ok, lost, full, "HTTP/1.1 503 Full\nContent-Length: 0\n\n", "HTTP/1.1 503 Full\nX-No-Slot: 1\nContent-Length: 0\n\n",
--- a/internal/sender/takein.go
+++ b/internal/sender/takein.go
@@ -22,7 +22,8 @@
 	maxUnread = 256 << 10 // answers that a client has not read
 	halfFor   = 10 * time.Second
 	maxInput  = resp.MaxBulk + 8<<10
-	spareFDs  = 48 // for the process itself, discovery, the platform and the journal
+	maxAhead  = 1 << 20 // what netpoll has read for us while a client's window was full
+	spareFDs  = 48      // for the process itself, discovery, the platform and the journal
 )
 
 const (
@@ -31,6 +32,7 @@
 	tooMany     reason = "too_many_clients"
 	halfCommand reason = "half_a_command"
 	slowReader  reason = "answers_not_read"
+	tooFarAhead reason = "too_far_ahead"
 	drained     reason = "drained"
 )
 
@@ -136,6 +138,12 @@
 		c.in = append(c.in, piece...)
 	}
 	r.Release()
+	if len(c.in) > maxAhead {
+		c.in, c.deaf = nil, true
+		c.half.Store(0)
+		s.post(func() { s.closeClient(c, tooFarAhead) })
+		return nil
+	}
 	at := 0
 	for {
 		args, took, err := resp.Command(c.in[at:], c.args)
