A write on a link that has just ended costs the call, not the process

Seen by reading netpoll 0.7.2: closing a connection sets its output buffer's nodes to nil, and WriteBinary on it then dereferences nil (UnsafeLinkBuffer.Close, growth); only Flush and Write are guarded. Our write goroutine may start after the link ended (link.send). Confirmed by a test that closes first: the process ends with a nil pointer dereference without the guard. A closed log pipe no longer ends the process either.

--- a/cmd/flaxcove/main.go
+++ b/cmd/flaxcove/main.go
@@ -73,6 +73,8 @@
 		return err
 	}
 	defer log.Sync()
+	// A log that nobody reads any more must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	s, err := sender.Start(cfg, log)
--- a/internal/sender/send.go
+++ b/internal/sender/send.go
@@ -11,6 +11,7 @@
 	"errors"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -66,6 +67,10 @@
 
 	asked atomic.Bool // a call was written and its answer has not come whole; shared with the loop
 
+	// netpoll drops a closed connection's buffers, and laying bytes up in them then ends the process.
+	bufferLock sync.Mutex
+	noBuffer   bool
+
 	call    *call // loop, as all below
 	writing bool
 	unsent  bool // the last write did not bring its last byte away
@@ -95,13 +100,13 @@
 func (s *Sender) startCalls() {
 	for _, c := range s.starting {
 		c.e.open = nil
-		s.start1(c)
+		s.begin(c)
 	}
 	clear(s.starting)
 	s.starting = s.starting[:0]
 }
 
-func (s *Sender) start1(c *call) {
+func (s *Sender) begin(c *call) {
 	for _, n := range c.notices {
 		// All of a call end together: none may be told its time-out while the call can still bring it about.
 		c.lasts = min(c.lasts, n.HardStop-s.Now()-s.cfg.Settings.Turn)
@@ -174,6 +179,9 @@
 	conn.SetWriteTimeout(time.Duration(config.Nanoseconds(max(1, c.lasts))))
 	conn.AddCloseCallback(func(netpoll.Connection) error {
 		// The loop may be the one that closes, so this must not wait for it.
+		l.bufferLock.Lock()
+		l.noBuffer = true
+		l.bufferLock.Unlock()
 		end := &partial{l.answer.Status(), l.answer.Began()}
 		go s.post(func() { s.linkEnded(l, end) })
 		return nil
@@ -262,14 +270,18 @@
 // send gathers head and body into one write.
 func (l *link) send(head, body []byte) error {
 	w := l.conn.Writer()
-	if _, err := w.WriteBinary(head); err != nil {
-		return err
-	}
-	if len(body) > 0 {
-		if _, err := w.WriteBinary(body); err != nil {
-			return err
+	l.bufferLock.Lock()
+	err := error(netpoll.ErrConnClosed)
+	if !l.noBuffer {
+		_, err = w.WriteBinary(head)
+		if err == nil && len(body) > 0 {
+			_, err = w.WriteBinary(body)
 		}
 	}
+	l.bufferLock.Unlock()
+	if err != nil {
+		return err
+	}
 	return w.Flush()
 }
 
--- a/internal/sender/sockets_test.go
+++ b/internal/sender/sockets_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/netpoll"
 	"go.uber.org/zap"
 
 	"flaxcove/internal/directory"
@@ -142,3 +143,28 @@
 		t.Errorf("%d files in the state folder", len(files))
 	}
 }
+
+// A link that ends between the loop's word and the write must cost a call, not the process: netpoll has dropped its
+// buffers by then.
+func TestWriteAfterEnd(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	conn, err := netpoll.DialConnection("tcp", server.Listener.Addr().String(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := start(t.TempDir(), 100)
+	r.hand("OUT.ADD 00 id c=order,d=20000,dest=1 x")
+	c := r.calls[0]
+	r.s.dialed(c, conn, nil)
+	c.link.conn.Close()
+	if err := c.link.send([]byte("head"), []byte("body")); err == nil {
+		t.Error("a write after the end is told as done")
+	}
+	for !c.over {
+		(<-r.s.inbox)()
+	}
+	if n := r.s.owed["id"]; n == nil || n.MayRun {
+		t.Error("what never left is taken for one that may have run")
+	}
+}
