A client that comes after the signal to end may hand in one command

Seen with the toy world under load: 12 of 150 hand-ins at a planned end found their new connection closed before they had written (takein.closeIdleClients closed every client without a command in each turn).

--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"os"
 	"strings"
+	"syscall"
 	"time"
 
+	"github.com/cloudwego/netpoll"
 	"go.uber.org/zap"
 
 	"flaxcove/choice"
@@ -369,6 +371,41 @@
 	// owed: 1 to the platform: 0
 }
 
+// At a planned end, clients with nothing on its way go; one that comes after the signal may hand in one command.
+func Example_drainClients() {
+	r := start("", 100)
+	connect := func() *client {
+		pair, _ := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+		conn, _ := netpoll.NewFDConnection(pair[0])
+		c := &client{conn: conn, came: r.clock, room: make(chan struct{}, window)}
+		r.s.clients.all[c] = struct{}{}
+		return c
+	}
+	idle, half, asked := connect(), connect(), connect()
+	half.half.Store(1)
+	asked.room <- struct{}{}
+	r.s.add(r.s.expect(asked), [][]byte{nil, []byte("0"), []byte("id"), []byte("c=status,d=6000,dest=1"), nil})
+	r.clock += time.Second
+	r.s.drain()
+	late, silent := connect(), connect()
+	show := func() { fmt.Println(idle.closing, half.closing, asked.closing, late.closing, silent.closing) }
+	show()
+	late.served = true
+	r.turn(5 * time.Millisecond)
+	show()
+	r.turn(lingerFor)
+	show()
+	os.RemoveAll(r.dir)
+	// Output:
+	// true false false false false
+	// call a: POST /inbox
+	//    id
+	// true false true true false
+	// call a: POST /inbox
+	//    id
+	// true false true true true
+}
+
 // A list that drops an endpoint, or moves it, takes its connections along; unreadable entries are left out.
 func Example_list() {
 	r := start("", 100)
--- a/internal/sender/takein.go
+++ b/internal/sender/takein.go
@@ -66,7 +66,9 @@
 	args [][]byte
 	deaf bool // after a broken command nothing tells where the next begins
 
-	waiting []*reply // loop: answers owed, in the order of the commands
+	came    time.Duration // since the start
+	waiting []*reply      // loop: answers owed, in the order of the commands
+	served  bool
 	out     []byte
 	writing bool
 	why     reason // why we close it
@@ -106,7 +108,7 @@
 type clientKey struct{}
 
 func (s *Sender) onAccept(conn netpoll.Connection) context.Context {
-	c := &client{conn: conn, peer: conn.RemoteAddr().String(), room: make(chan struct{}, window)}
+	c := &client{conn: conn, came: s.clock(), peer: conn.RemoteAddr().String(), room: make(chan struct{}, window)}
 	s.clients.Lock()
 	full := len(s.clients.all) >= s.clients.most
 	if !full {
@@ -192,6 +194,7 @@
 
 // expect makes the place of the next answer.
 func (s *Sender) expect(c *client) *reply {
+	c.served = true
 	r := &reply{c: c}
 	c.waiting = append(c.waiting, r)
 	return r
@@ -273,12 +276,14 @@
 }
 
 // closeIdleClients ends those that nothing is owed, so that they go elsewhere. A command half read is waited for:
-// its client would count it as taken and not answered.
+// its client would count it as taken and not answered. One that has just come is let hand in what it came with, or
+// its client would find a closed connection twice in a row.
 func (s *Sender) closeIdleClients() {
 	s.clients.Lock()
 	var idle []*client
 	for c := range s.clients.all {
-		if len(c.waiting) == 0 && c.half.Load() == 0 {
+		fresh := c.came >= s.drainAt && !c.served && s.clock()-c.came < lingerFor
+		if len(c.waiting) == 0 && c.half.Load() == 0 && !fresh {
 			idle = append(idle, c)
 		}
 	}
