A key rests after a restart, and limits on the disk are taken as given

Read against the rule on order: a dispatch that was out at a kill may still run, and nothing kept the next notice of its key back (Sender.Taken, limitsRepeat). Now a dispatch of an ordered notice is on record too, and its key rests keyRest after the restart. Keys of 64 bits or of other text were taken for none (admit.read).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -252,11 +252,6 @@
 	}
 	s.held[n.ID] = n
 	n.d.held++
-	if s.now > s.lastSend(n) || n.MayRun && w.Repeat == SingleUse || s.turnsAway(n) {
-		s.finish(n)
-		return
-	}
-	s.wake(n, s.lastSend(n)+1)
 	if w.ByArrival && n.Key != NoKey {
 		n.line = s.lines[n.Key]
 		if n.line == nil {
@@ -264,7 +259,16 @@
 			s.lines[n.Key] = n.line
 		}
 		n.line.notices = append(n.line.notices, n)
+		if n.MayRun {
+			n.line.restUntil = s.now + s.keyRest // a call of an earlier life may still run
+			s.wake(n, n.line.restUntil)
+		}
 	}
+	if s.now > s.lastSend(n) || n.MayRun && w.Repeat == SingleUse || s.turnsAway(n) {
+		s.finish(n)
+		return
+	}
+	s.wake(n, s.lastSend(n)+1)
 	s.queue(n)
 }
 
@@ -455,8 +459,7 @@
 }
 
 func (s *Sender) hangUp(c *call) {
-	c.e.calls--
-	c.e.linkUntil = s.now + s.connIdle
+	c.e.calls, c.e.linkUntil = c.e.calls-1, s.now+s.connIdle
 	// Idle links of a fleet fill a destination's table: the more connections of its kind fail, the oftener
 	// one must be used to stay. Those to other zones are dear to open and stay.
 	if use := c.e.used.read(s.now, loadSpan*Time(s.senders)) * seconds(s.connIdle); c.e.calls == 0 &&
@@ -574,17 +577,15 @@
 		e.aside, e.asideAt, e.step = true, s.now, firstTrial
 		s.chill(e, max(s.now, e.route.haltUntil))
 	}
-	e.failAt, e.passed = s.now, !s.probes
-	e.tryAt = s.now + e.step/2 + s.chance.upTo(string(e.id), e.step/2)
+	e.failAt, e.passed, e.tryAt = s.now, !s.probes, s.now+e.step/2+s.chance.upTo(string(e.id), e.step/2)
 }
 
 func (s *Sender) comeBack(e *endpoint, sentAt Time) {
-	e.fails = 0
 	if e.aside && sentAt >= e.asideAt {
 		// It returned at some time since the last failure; an answer to a call from before shows no outage.
 		s.chill(e, (e.failAt+s.now)/2)
 	}
-	e.aside = false
+	e.fails, e.aside = 0, false
 }
 
 // halt heeds a told wait, jittered so that senders told alike do not return in step.
@@ -803,8 +804,7 @@
 	} else {
 		e.cold.level -= rideWeight
 	}
-	c.n++
-	c.left++
+	c.n, c.left = c.n+1, c.left+1
 	n.out, n.sentAt = c, s.now
 	n.tries++
 	s.h.Dispatch(n.ID, e.id, s.timeOut(n, e))
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -392,17 +392,22 @@
 }
 
 // What an earlier life of the sender may have run: a single-use notice is given up, a tokened one goes out again
-// within its window and zone, a replayable one at once.
+// within its window and zone, a replayable one at once. A key rests first, since its call may still be running.
 func Example_earlierLife() {
 	d := open(plain())
 	for i, id := range []NoticeID{"replayable", "tokened", "single-use"} {
 		d.s.Taken(Notice{ID: id, Workload: WorkloadNo(i), Destination: 1, HardStop: 6 * Second, MayRun: true})
 	}
 	d.s.Taken(Notice{ID: "out of its window", Workload: 1, Destination: 1, HardStop: 6 * Second, MayRun: true, RanAt: -3 * Second})
+	d.s.Taken(Notice{ID: "in order", Workload: 3, Key: 5, Destination: 1, HardStop: 6 * Second, MayRun: true})
+	d.s.Taken(Notice{ID: "next of its key", Workload: 3, Key: 5, Destination: 1, HardStop: 6 * Second})
 	d.s.TurnEnd()
+	d.ended(Done, 0, "a", "replayable", "tokened").run(Second).ended(Done, 0, "a", "in order")
 	// Output:
 	// 0.0     give up single-use
 	// 0.0     give up out of its window
 	// 0.0     dispatch tokened to a
 	// 0.0     dispatch replayable to a
+	// 1000.0  dispatch in order to a
+	// 1000.0  dispatch next of its key to a
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -53,7 +53,7 @@
 	// FILE: field seed: "12 monkeys" is not a hexadecimal number of 64 bits
 	// FILE: field limits.sockets: 3 is under 64
 	// FILE: field limits.memory_mb: string does not fit
-	// FILE: field limits.disk_mb: 0 is under 0.25
+	// FILE: field limits.disk_mb: 0 is not above 0
 	// FILE: field settings: extra.callsOut: missing
 	// FILE: field settings: classes[0].idempotency: unknown word "magic"
 	// FILE: field settings: missing
--- a/internal/sender/admit.go
+++ b/internal/sender/admit.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"strconv"
 
 	"go.uber.org/zap"
@@ -140,13 +141,10 @@
 		return nil, fmt.Errorf("OUT.ADD takes a key, an id, a list and a body, not %d arguments", len(args)-1)
 	}
 	n := &notice{key: string(args[1]), body: args[4]}
-	n.ID, n.Key = choice.NoticeID(args[2]), choice.NoKey
+	n.ID, n.Key = choice.NoticeID(args[2]), orderKey(n.key)
 	if !token(args[1]) || !token(args[2]) {
 		return nil, errors.New("key and id: up to 128 visible characters each")
 	}
-	if k, err := strconv.ParseUint(n.key, 16, 63); err == nil && k != 0 {
-		n.Key = choice.OrderKey(k)
-	}
 	hold, dest := -1.0, -1.0
 	for _, pair := range splitPairs(string(args[3])) {
 		switch pair[0] {
@@ -266,9 +264,23 @@
 	return kept
 }
 
-// limitsRepeat tells whether a dispatch forbids or limits another one.
+// limitsRepeat tells whether a dispatch forbids or limits another one, or holds up the next of its key.
 func (s *Sender) limitsRepeat(n *notice) bool {
-	return s.cfg.Settings.Workloads[n.Workload].Repeat != choice.Replayable
+	w := &s.cfg.Settings.Workloads[n.Workload]
+	return w.Repeat != choice.Replayable || w.ByArrival && n.Key != choice.NoKey
+}
+
+// orderKey is a client's key as the module takes it: zeros stand for none, and other text than a hexadecimal number
+// for one of its own.
+func orderKey(text string) choice.OrderKey {
+	k, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		k = uint64(crc32.ChecksumIEEE([]byte(text))) + 1
+	}
+	if k == 0 {
+		return choice.NoKey
+	}
+	return choice.OrderKey(k &^ (1 << 63))
 }
 
 // answerAdmitted tells the clients whose notices are lasting now.
@@ -366,10 +378,7 @@
 			s.log.Warn("journal: a notice cannot be read", zap.String("id", string(id)), zap.String("workload", n.workload))
 			return
 		}
-		n.Key = choice.NoKey
-		if k, err := strconv.ParseUint(n.key, 16, 63); err == nil && k != 0 {
-			n.Key = choice.OrderKey(k)
-		}
+		n.Key = orderKey(n.key)
 		s.owed[id] = n
 		s.order = append(s.order, n)
 	}
