--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -28,6 +28,7 @@
 	lingerFor = 500 * time.Millisecond // clients still come by new connections
 	sendFor   = 2500 * time.Millisecond
 	endAfter  = 3300 * time.Millisecond
+	endAnyway = 3500 * time.Millisecond
 	retryTurn = 20 * time.Millisecond // a turn whose journal could not be written
 )
 
@@ -200,7 +201,8 @@
 	}
 	s.closeIdleClients()
 	since := s.sinceDrain()
-	if since >= endAfter || since >= lingerFor && len(s.owed) == 0 && s.clients.count() == 0 {
+	// The process's end would cut off an answer on its way.
+	if since >= endAfter && !s.answersOut() || since >= endAnyway || since >= lingerFor && len(s.owed) == 0 && s.clients.count() == 0 {
 		s.ended = true
 	}
 }
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -381,29 +381,34 @@
 		r.s.clients.all[c] = struct{}{}
 		return c
 	}
-	idle, half, asked := connect(), connect(), connect()
-	half.half.Store(1)
+	idle, half, asked, queued := connect(), connect(), connect(), connect()
+	queued.room <- struct{}{} // its command waits in the inbox
+	half.half.Store(time.Now().UnixNano())
 	asked.room <- struct{}{}
 	r.s.add(r.s.expect(asked), [][]byte{nil, []byte("0"), []byte("id"), []byte("c=status,d=6000,dest=1"), nil})
 	r.clock += time.Second
 	r.s.drain()
 	late, silent := connect(), connect()
-	show := func() { fmt.Println(idle.closing, half.closing, asked.closing, late.closing, silent.closing) }
+	show := func() { fmt.Println(idle.closing, half.closing, asked.closing, queued.closing, late.closing, silent.closing) }
 	show()
 	late.served = true
 	r.turn(5 * time.Millisecond)
 	show()
 	r.turn(lingerFor)
 	show()
+	half.half.Store(time.Now().Add(-halfFor).UnixNano())
+	r.s.checkHalf(half)
+	fmt.Println("half a command:", half.closing, half.gone)
 	os.RemoveAll(r.dir)
 	// Output:
-	// true false false false false
+	// true false false false false false
 	// call a: POST /inbox
 	//    id
-	// true false true true false
+	// true false true false true false
 	// call a: POST /inbox
 	//    id
-	// true false true true true
+	// true false true false true true
+	// half a command: true true
 }
 
 // A list that drops an endpoint, or moves it, takes its connections along; unreadable entries are left out.
--- a/internal/sender/takein.go
+++ b/internal/sender/takein.go
@@ -22,8 +22,8 @@
 	maxUnread = 256 << 10 // answers that a client has not read
 	halfFor   = 10 * time.Second
 	maxInput  = resp.MaxBulk + 8<<10
-	maxAhead  = 1 << 20 // what netpoll has read for us while a client's window was full
-	spareFDs  = 48      // for the process itself, discovery, the platform and the journal
+	maxAhead  = window * maxInput // what netpoll has read for us while a client's window was full
+	spareFDs  = 48                // for the process itself, discovery, the platform and the journal
 )
 
 const (
@@ -59,7 +59,8 @@
 type client struct {
 	conn netpoll.Connection
 	peer string
-	room chan struct{} // one for each command without an answer
+	room chan struct{} // one for each command without an answer, from before the loop hears of it
+	busy atomic.Bool   // the reader is at work
 	half atomic.Int64  // when the command came that is not whole yet, in Unix nanoseconds; 0 for none
 
 	in   []byte // reader
@@ -73,6 +74,7 @@
 	writing bool
 	why     reason // why we close it
 	closing bool
+	looking bool // a timer looks again whether it can be closed
 	gone    bool
 }
 
@@ -132,8 +134,13 @@
 func (s *Sender) onBytes(ctx context.Context, conn netpoll.Connection) error {
 	c, known := ctx.Value(clientKey{}).(*client)
 	r := conn.Reader()
+	if !known {
+		return conn.Close()
+	}
+	c.busy.Store(true)
+	defer c.busy.Store(false)
 	piece, err := r.Next(r.Len())
-	if !known || err != nil {
+	if err != nil {
 		return err
 	}
 	if !c.deaf {
@@ -188,6 +195,7 @@
 // checkHalf ends a client that leaves a command unfinished: its buffer is held for nothing.
 func (s *Sender) checkHalf(c *client) {
 	if at := c.half.Load(); at != 0 && time.Now().UnixNano()-at >= int64(halfFor) && !c.gone {
+		c.half.Store(0)
 		s.closeClient(c, halfCommand)
 	}
 }
@@ -213,6 +221,12 @@
 	s.flush(c)
 }
 
+// quiet tells whether nothing that the client has sent is on its way through us. Ending its connection otherwise
+// would leave a command without an answer, which counts as lost.
+func (c *client) quiet() bool {
+	return len(c.room) == 0 && len(c.waiting) == 0 && !c.busy.Load() && c.half.Load() == 0
+}
+
 // flush has a goroutine of its own write, since netpoll waits for a reader that is slow.
 func (s *Sender) flush(c *client) {
 	switch {
@@ -224,9 +238,15 @@
 			_, err := c.conn.Write(text)
 			s.post(func() { s.flushed(c, err) })
 		}()
-	case c.closing && len(c.waiting) == 0:
+	case c.closing && c.quiet():
 		c.gone = true
 		c.conn.Close()
+	case c.closing && !c.looking:
+		c.looking = true
+		s.after(settleFor, func() {
+			c.looking = false
+			s.flush(c)
+		})
 	}
 	if len(c.out) > maxUnread && !c.gone {
 		c.why, c.gone = slowReader, true
@@ -275,15 +295,14 @@
 	s.logEnd("client", c.peer, c.why, nil)
 }
 
-// closeIdleClients ends those that nothing is owed, so that they go elsewhere. A command half read is waited for:
-// its client would count it as taken and not answered. One that has just come is let hand in what it came with, or
-// its client would find a closed connection twice in a row.
+// closeIdleClients ends those that nothing is owed, so that they go elsewhere. One that has just come is let hand in
+// what it came with, or its client would find a closed connection twice in a row.
 func (s *Sender) closeIdleClients() {
 	s.clients.Lock()
 	var idle []*client
 	for c := range s.clients.all {
 		fresh := c.came >= s.drainAt && !c.served && s.clock()-c.came < lingerFor
-		if len(c.waiting) == 0 && c.half.Load() == 0 && !fresh {
+		if c.quiet() && !fresh {
 			idle = append(idle, c)
 		}
 	}
@@ -292,3 +311,15 @@
 		s.closeClient(c, drained)
 	}
 }
+
+// answersOut tells whether an answer is still being written, or owed.
+func (s *Sender) answersOut() bool {
+	s.clients.Lock()
+	defer s.clients.Unlock()
+	for c := range s.clients.all {
+		if !c.gone && (c.writing || len(c.room) > 0) {
+			return true
+		}
+	}
+	return false
+}
