--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -389,7 +389,9 @@
 	r.clock += time.Second
 	r.s.drain()
 	late, silent := connect(), connect()
-	show := func() { fmt.Println(idle.closing, half.closing, asked.closing, queued.closing, late.closing, silent.closing) }
+	show := func() {
+		fmt.Println(idle.closing, half.closing, asked.closing, queued.closing, late.closing, silent.closing)
+	}
 	show()
 	late.served = true
 	r.turn(5 * time.Millisecond)
