--- a/examples/toy/main.go
+++ b/examples/toy/main.go
@@ -59,7 +59,7 @@
 			status = http.StatusInternalServerError
 		}
 		w.WriteHeader(status)
-		fmt.Printf("toy-a: %s %q: %d\n", r.Header.Get("X-Request-Id"), body, status)
+		fmt.Printf("single: %s %q: %d\n", r.Header.Get("X-Request-Id"), body, status)
 	})
 	http.HandleFunc("POST /inbox/bulk", func(w http.ResponseWriter, r *http.Request) {
 		var items []struct {
@@ -77,7 +77,7 @@
 		}
 		var states []state
 		for _, item := range items {
-			fmt.Printf("toy-b: %s %q: ok, one of %d\n", item.ID, item.Body, len(items))
+			fmt.Printf("bundle: %s %q: ok, one of %d\n", item.ID, item.Body, len(items))
 			states = append(states, state{item.ID, "ok"})
 		}
 		json.NewEncoder(w).Encode(states)
--- a/internal/sender/admit.go
+++ b/internal/sender/admit.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"hash/crc32"
 	"strconv"
+	"strings"
 
 	"go.uber.org/zap"
 
@@ -62,13 +63,13 @@
 		name = string(args[0])
 	}
 	switch {
-	case equalFold(name, "OUT.ADD"):
+	case strings.EqualFold(name, "OUT.ADD"):
 		s.add(r, args)
-	case equalFold(name, "PING") && len(args) == 2:
+	case strings.EqualFold(name, "PING") && len(args) == 2:
 		s.answer(r, resp.AppendBulk(nil, args[1]))
-	case equalFold(name, "PING"):
+	case strings.EqualFold(name, "PING"):
 		s.answer(r, resp.AppendSimple(nil, "PONG"))
-	case equalFold(name, "INFO"):
+	case strings.EqualFold(name, "INFO"):
 		var text []byte
 		for _, line := range s.Counters() {
 			text = append(append(text, line...), "\r\n"...)
@@ -80,22 +81,6 @@
 	}
 }
 
-func equalFold(a, b string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range len(a) {
-		c := a[i]
-		if 'a' <= c && c <= 'z' {
-			c -= 'a' - 'A'
-		}
-		if c != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 func (s *Sender) add(r *reply, args [][]byte) {
 	s.counts.handedIn++
 	n, err := s.read(args)
@@ -146,14 +131,14 @@
 		return nil, errors.New("key and id: up to 128 visible characters each")
 	}
 	hold, dest := -1.0, -1.0
-	for _, pair := range splitPairs(string(args[3])) {
-		switch pair[0] {
+	for pair := range strings.SplitSeq(string(args[3]), ",") {
+		switch name, value, _ := strings.Cut(pair, "="); name {
 		case "c":
-			n.workload = pair[1]
+			n.workload = value
 		case "d":
-			hold = number(pair[1])
+			hold = number(value)
 		case "dest":
-			dest = number(pair[1])
+			dest = number(value)
 		}
 	}
 	w, known := s.cfg.Workloads[n.workload]
@@ -171,25 +156,6 @@
 	return n, nil
 }
 
-func splitPairs(list string) (pairs [][2]string) {
-	for len(list) > 0 {
-		var pair string
-		pair, list, _ = cut(list, ',')
-		name, value, _ := cut(pair, '=')
-		pairs = append(pairs, [2]string{name, value})
-	}
-	return pairs
-}
-
-func cut(text string, mark byte) (before, after string, found bool) {
-	for i := range len(text) {
-		if text[i] == mark {
-			return text[:i], text[i+1:], true
-		}
-	}
-	return text, "", false
-}
-
 func number(text string) float64 {
 	v, err := strconv.ParseFloat(text, 64)
 	if err != nil || v != v {
