--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"syscall"
+	"testing"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -15,6 +16,7 @@
 	"flaxcove/internal/config"
 	"flaxcove/internal/directory"
 	"flaxcove/internal/http1"
+	"flaxcove/internal/journal"
 )
 
 // rig is a sender without sockets: a clock that stands, calls that go nowhere and a platform that a test speaks for.
@@ -427,3 +429,52 @@
 	// client: +OK
 	// 2 true
 }
+
+// FuzzReplay: no record crashes a start, and what is owed after it can be written and read again.
+func FuzzReplay(f *testing.F) {
+	n := &notice{key: "0", workload: "order"}
+	n.ID, n.HardStop = "id", 9e13
+	f.Add(n.record(), outRecord("id", 5, 0))
+	f.Add(n.record(), endingRecord(&notice{Notice: n.Notice, ending: ending{what: endGivenUp}}))
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		dir := t.TempDir()
+		j, _, err := journal.Open(dir, 1<<20, func([]byte) {})
+		if err != nil || len(first) == 0 || len(second) == 0 || len(first)+len(second) > 1<<16 {
+			return
+		}
+		j.Add(first)
+		j.Add(second)
+		j.Close()
+		a := start(dir, 100)
+		owed := len(a.s.owed)
+		a.s.journal.Rewrite(func(add func([]byte)) {
+			for _, n := range a.s.order {
+				n.records(add)
+			}
+		})
+		if b := start(dir, 100); len(b.s.owed) != owed {
+			t.Fatalf("%d owed, then %d", owed, len(b.s.owed))
+		}
+	})
+}
+
+// FuzzEndpoint: whatever an endpoint says to a bundle, each notice has one outcome and none is lost.
+func FuzzEndpoint(f *testing.F) {
+	f.Add(ok)
+	f.Add("HTTP/1.1 200 OK\nRetry-After: 1e9\nX-Load: x0=NaN,x1=-1,=,\nContent-Length: 29\n\n" + `[{"id":"s1","state":"later"}]`)
+	f.Fuzz(func(t *testing.T, text string) {
+		r := start(t.TempDir(), 100)
+		c := &client{room: make(chan struct{}, window), gone: true}
+		for _, id := range []string{"s1", "s2"} {
+			c.room <- struct{}{}
+			r.s.command(c, [][]byte{[]byte("OUT.ADD"), []byte("0"), []byte(id), []byte("c=status,d=6000,dest=2"), nil})
+		}
+		r.s.turn()
+		r.answer(text)
+		for _, n := range []choice.NoticeID{"s1", "s2"} {
+			if n := r.s.owed[n]; n != nil && n.out != nil {
+				t.Fatalf("%s: still out", n.ID)
+			}
+		}
+	})
+}
