--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -196,8 +196,8 @@
 	}
 }
 
-// Answer gathers one answer from pieces of any size. The zero value is ready; Reset makes it so again and keeps
-// what came behind the answer.
+// Answer gathers one answer from pieces of any size. The zero value is ready; what comes behind the answer is only
+// counted.
 type Answer struct {
 	Head
 	Body   []byte // whole once Done; lies in the buffer
@@ -277,15 +277,6 @@
 // Left is how many bytes have come behind the answer, which nobody asked for.
 func (a *Answer) Left() int { return len(a.buf) - a.at }
 
-// Reset forgets an answer that is done.
-func (a *Answer) Reset() {
-	rest := append(a.buf[:0], a.buf[a.at:]...)
-	if cap(rest) > MaxHead {
-		rest = append([]byte(nil), rest...)
-	}
-	*a = Answer{buf: rest}
-}
-
 // AppendRequest adds a request's head. Fields come as name, value, name, value; a body of size bytes follows,
 // and no body where size is below 0.
 func AppendRequest(out []byte, method, path, host string, size int, fields ...string) []byte {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -102,12 +102,15 @@
 	return append(out, record...)
 }
 
-// Size is what the records written and waiting take, and Framed what a record of so many bytes would add.
-func (j *Journal) Size() int64       { return j.size + int64(len(j.batch)) }
-func Framed(n int) int64             { return int64(n) + frameHead }
-func (j *Journal) Limit() int64      { return j.limit }
-func whole(n int64) int64            { return (n + block - 1) / block * block }
-func (j *Journal) Fits(n int64) bool { return whole(j.Size()+n) <= j.limit }
+// Size is what the records written and waiting take.
+func (j *Journal) Size() int64 { return j.size + int64(len(j.batch)) }
+
+func (j *Journal) Limit() int64 { return j.limit }
+
+// Framed is what a record of so many bytes adds.
+func Framed(n int) int64 { return int64(n) + frameHead }
+
+func whole(n int64) int64 { return (n + block - 1) / block * block }
 
 // Add lays a record up for the next Flush.
 func (j *Journal) Add(record []byte) { j.batch = frame(j.batch, record) }
