SIGHUP reads the configuration anew and moves watch and platform posts to its discovery

Checked: nothing in cmd/flaxcove/main.go caught SIGHUP, and Start took cfg.Discovery once for the watch (sender.go) and the poster (book.go).

--- a/cmd/flaxcove/main.go
+++ b/cmd/flaxcove/main.go
@@ -62,6 +62,9 @@
 }
 
 func serve(context.Context, *cli.Command) error {
+	// Before all else: SIGHUP asks for the file to be read anew, and must never end the process.
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -85,6 +88,11 @@
 		<-signals
 		s.Drain()
 	}()
+	go func() {
+		for range hups {
+			s.Reload(config.Reload(os.Getenv))
+		}
+	}()
 	log.Info("serving", zap.String("name", cfg.Name), zap.String("listen", s.Addr()), zap.String("version", version))
 	s.Run()
 	return nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 
 	"flaxcove/choice"
@@ -51,6 +52,36 @@
 	Settings  *Boot          `json:"settings"`
 }
 
+// Reload reads the file anew for a running sender. The other variables still go before it, but not EDGE_DISCOVERY:
+// that tells of the start, and the file may have been replaced to tell otherwise.
+func Reload(getenv func(string) string) (*Config, error) {
+	return Load(func(name string) string {
+		if name == "EDGE_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	})
+}
+
+// Fixed names the fields in which a configuration read anew differs and which a running sender keeps. The seed and
+// the known list are for starts alone.
+func (c *Config) Fixed(fresh *Config) (fields []string) {
+	for _, f := range []struct {
+		name     string
+		old, new any
+	}{
+		{"name", c.Name, fresh.Name}, {"listen", c.Listen, fresh.Listen}, {"state", c.State, fresh.State},
+		{"limits", c.Limits, fresh.Limits}, {"settings", c.Settings, fresh.Settings},
+		{"settings.classes", c.Workloads, fresh.Workloads}, {"settings.zones", c.Zones, fresh.Zones},
+		{"settings.machineTypes", c.Kinds, fresh.Kinds}, {"settings.stats.fields", c.Reports, fresh.Reports},
+	} {
+		if !reflect.DeepEqual(f.old, f.new) {
+			fields = append(fields, f.name)
+		}
+	}
+	return fields
+}
+
 // Load reads the file that EDGE_CONFIG names; the other EDGE_ variables go before what it says.
 func Load(getenv func(string) string) (*Config, error) {
 	path := getenv("EDGE_CONFIG")
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,8 +1,8 @@
 // Package directory follows the list of endpoints at discovery.
 //
 // It owns one connection there and the list's form. It asks for the whole list by a watch, which stays open, and
-// asks anew when that ends or falls silent. It must never give up, end the process over what discovery says, or
-// pass on an entry that it could not read.
+// asks anew when that ends or falls silent. It must never give up before it is stopped, end the process over what
+// discovery says, or pass on an entry that it could not read.
 package directory
 
 import (
@@ -30,6 +30,8 @@
 	maxLine  = 4 << 20                // a whole list of some ten thousand endpoints
 )
 
+var errStopped = errors.New("stopped")
+
 // List is one message of discovery: all entries, or those that changed.
 type List struct {
 	Version int64   `json:"version"`
@@ -71,16 +73,10 @@
 }
 
 // Watch follows discovery at addr from a version on until stop is closed. It hands each message to news, and
-// what went wrong to failed, both from its own goroutine.
+// why a connection ended to failed, both from its own goroutine.
 func Watch(addr string, since int64, stop <-chan struct{}, news func(List), failed func(error)) {
 	for {
-		err := follow(addr, &since, news)
-		select {
-		case <-stop:
-			return
-		default:
-		}
-		failed(err)
+		failed(follow(addr, &since, stop, news))
 		select {
 		case <-stop:
 			return
@@ -89,7 +85,7 @@
 	}
 }
 
-func follow(addr string, since *int64, news func(List)) error {
+func follow(addr string, since *int64, stop <-chan struct{}, news func(List)) error {
 	conn, err := netpoll.DialConnection("tcp", addr, dialFor)
 	if err != nil {
 		return err
@@ -109,6 +105,11 @@
 		if in, err = more(conn, in); err != nil {
 			return err
 		}
+		select {
+		case <-stop:
+			return errStopped
+		default:
+		}
 		if !reading {
 			n, err := head.Parse(in)
 			if err != nil {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -53,6 +53,9 @@
 			}
 		},
 		func(err error) {
+			if len(answers) == 0 {
+				return // stopped, or ended, whichever is seen first
+			}
 			var syntax *json.SyntaxError
 			fmt.Println("ended:", err, errors.As(err, &syntax))
 		})
--- a/internal/sender/book.go
+++ b/internal/sender/book.go
@@ -18,9 +18,11 @@
 const (
 	outcomesPath = "/v1/outcomes"
 	mostPosted   = 256 // endings in one post
-	postFor      = time.Second
-	firstRetry   = 50 * time.Millisecond
-	lastRetry    = time.Second
+	// The platform's agent answers at once; while one post waits, all later endings do, and a notice without its
+	// ending 300 ms past its hard stop is lost.
+	postFor    = 250 * time.Millisecond
+	firstRetry = 20 * time.Millisecond
+	lastRetry  = 250 * time.Millisecond
 )
 
 const postFailed reason = "post_failed"
@@ -46,7 +48,7 @@
 	retryIn time.Duration
 	alone   bool // the last post was not understood: one at a time until one is
 	poster  poster
-	tell    func(body []byte) (status int, err error) // a test puts its own in place
+	tell    func(addr string, body []byte) (status int, err error) // a test puts its own in place
 	counts  counts
 }
 
@@ -57,6 +59,7 @@
 	dispatches, probes, connects, connectsFailed, timedOut int64
 	delivered, handedBack, givenUp, posted, postsFailed    int64
 	clientsEnded, linksEnded, watchesEnded, rewritings     int64
+	reloads                                                int64
 	outcomes                                               [choice.Moot + 1]int64
 }
 
@@ -89,6 +92,7 @@
 	add("links", int64(s.open))
 	add("links_ended", n.linksEnded)
 	add("watches_ended", n.watchesEnded)
+	add("reloads", n.reloads)
 	add("journal_bytes", s.journal.Size())
 	add("journal_rewritings", n.rewritings)
 	add("owed", int64(len(s.owed)))
@@ -154,9 +158,9 @@
 		body = append(body, n.ending.line(n.ID)...)
 	}
 	s.posting = true
-	count := len(batch)
+	count, addr := len(batch), s.discovery
 	go func() {
-		status, err := s.tell(body)
+		status, err := s.tell(addr, body)
 		s.post(func() { s.postEnded(count, status, err) })
 	}()
 }
@@ -202,10 +206,15 @@
 // poster holds the connection to the platform. It belongs to the one goroutine that posts.
 type poster struct {
 	conn netpoll.Connection
-	log  func(why reason, err error)
+	addr string // of conn
+	log  func(addr string, why reason, err error)
 }
 
 func (p *poster) post(addr string, body []byte) (status int, err error) {
+	if addr != p.addr {
+		p.drop(unneeded, nil)
+		p.addr = addr
+	}
 	fresh := p.conn == nil || !p.conn.IsActive()
 	if status, err = p.try(addr, body); err != nil && !fresh {
 		// The kept connection had ended; a notice told twice does no harm.
@@ -219,7 +228,7 @@
 		p.drop(peerClosed, nil)
 		if p.conn, err = netpoll.DialConnection("tcp", addr, postFor); err != nil {
 			p.conn = nil
-			p.log(notUp, err)
+			p.log(addr, notUp, err)
 			return 0, err
 		}
 		p.conn.SetReadTimeout(postFor)
@@ -257,7 +266,7 @@
 
 func (p *poster) drop(why reason, err error) {
 	if p.conn != nil {
-		p.log(why, err)
+		p.log(p.addr, why, err)
 		p.conn.Close()
 		p.conn = nil
 	}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -11,6 +11,7 @@
 	"container/heap"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -53,6 +54,9 @@
 	draining bool
 	drainAt  time.Duration // when the signal to end came
 
+	discovery string          // where list and platform are asked now; cfg.Discovery is where they were at the start
+	watches   []chan struct{} // each ends a watch; the newest is last, and those before it end when it has spoken
+
 	takeIn
 	admission
 	routing
@@ -70,7 +74,7 @@
 	if err := s.listen(); err != nil {
 		return nil, errors.Join(err, s.journal.Close())
 	}
-	go s.watch(cfg.Known.Version)
+	s.watch(cfg.Known.Version)
 	return s, nil
 }
 
@@ -83,8 +87,9 @@
 	s.links.init(cfg, s.clients.most)
 	s.book.init()
 	s.dial = s.connect
-	s.poster.log = func(why reason, err error) { s.logEnd("platform", cfg.Discovery, why, err) }
-	s.tell = func(body []byte) (int, error) { return s.poster.post(cfg.Discovery, body) }
+	s.discovery = cfg.Discovery
+	s.poster.log = func(addr string, why reason, err error) { s.logEnd("platform", addr, why, err) }
+	s.tell = s.poster.post
 	unfinished, err := s.openJournal()
 	if err != nil {
 		return nil, err
@@ -97,18 +102,60 @@
 	return s, nil
 }
 
+// watch follows the list at the present address. The watch that it takes the place of goes on until this one has
+// spoken: a new address that never answers must not leave the sender without any.
 func (s *Sender) watch(since int64) {
-	directory.Watch(s.cfg.Discovery, since, s.stop,
-		func(l directory.List) { s.post(func() { s.listNews(l, false) }) },
+	addr, stop := s.discovery, make(chan struct{})
+	s.watches = append(s.watches, stop)
+	go directory.Watch(addr, since, stop,
+		func(l directory.List) {
+			s.post(func() {
+				if i := slices.Index(s.watches, stop); i >= 0 {
+					s.endWatches(i)
+					s.listNews(l, false)
+				}
+			})
+		},
 		func(err error) {
 			s.post(func() {
 				s.counts.watchesEnded++
-				s.log.Info("connection ended", zap.String("side", "discovery"), zap.String("reason", "watch_over"), zap.Error(err))
-				s.module.ListFailed()
+				s.logEnd("discovery", addr, watchOver, err)
+				if len(s.watches) == 1 && s.watches[0] == stop {
+					s.module.ListFailed()
+				}
 			})
 		})
 }
 
+// endWatches ends the oldest ones.
+func (s *Sender) endWatches(count int) {
+	for _, stop := range s.watches[:count] {
+		close(stop)
+	}
+	s.watches = slices.Delete(s.watches, 0, count)
+}
+
+// Reload takes a configuration that was read anew while the sender runs, or what was wrong with it. Only discovery
+// can change under a running sender; the process goes on in any case.
+func (s *Sender) Reload(cfg *config.Config, err error) { s.post(func() { s.reload(cfg, err) }) }
+
+func (s *Sender) reload(cfg *config.Config, err error) {
+	if err != nil {
+		s.log.Error("configuration not taken", zap.Error(err))
+		return
+	}
+	s.counts.reloads++
+	fixed := s.cfg.Fixed(cfg)
+	s.log.Info("configuration read", zap.String("discovery", cfg.Discovery), zap.String("before", s.discovery),
+		zap.Strings("at_the_next_start", fixed))
+	if cfg.Discovery == s.discovery {
+		return
+	}
+	s.discovery, s.retryIn = cfg.Discovery, firstRetry
+	// Another place may number its versions otherwise, so it is asked for all.
+	s.watch(0)
+}
+
 // post hands the loop something to do. It may be called from any goroutine but the loop's own.
 func (s *Sender) post(f func()) {
 	select {
@@ -210,6 +257,7 @@
 // close ends the process's part; what is owed stays in the journal.
 func (s *Sender) close() {
 	close(s.stop)
+	s.endWatches(len(s.watches))
 	if err := s.journal.Close(); err != nil {
 		s.log.Error("journal", zap.Error(err))
 	}
@@ -256,6 +304,8 @@
 // reason is why a connection ended, as the log tells it.
 type reason string
 
+const watchOver reason = "watch_over"
+
 func (s *Sender) logEnd(side, peer string, why reason, err error) {
 	fields := []zap.Field{zap.String("side", side), zap.String("peer", peer), zap.String("reason", string(why))}
 	if err != nil {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -63,7 +63,7 @@
 		fmt.Println(err)
 	}
 	s.dial = func(c *call) { r.calls = append(r.calls, c) }
-	s.tell = func(body []byte) (int, error) {
+	s.tell = func(_ string, body []byte) (int, error) {
 		if !r.up {
 			return 0, os.ErrDeadlineExceeded
 		}
--- a/internal/sender/sockets_test.go
+++ b/internal/sender/sockets_test.go
@@ -169,3 +169,86 @@
 		t.Error("what never left is taken for one that may have run")
 	}
 }
+
+// A configuration read anew moves the watch and the platform's endings, an unanswered one too, to the new address.
+// The old watch and the list stay until the new one has spoken, and what is broken changes nothing.
+func TestReload(t *testing.T) {
+	var places []*directoryStandIn
+	for i := range 3 {
+		p := &directoryStandIn{told: make(chan string, 100), asked: make(chan struct{}, 100), answers: i == 2, tells: i != 1}
+		p.Server = httptest.NewServer(p)
+		defer p.Server.CloseClientConnections()
+		places = append(places, p)
+	}
+	cfg := configure(t.TempDir(), 100)
+	cfg.Listen, cfg.Discovery = "127.0.0.1:0", places[0].addr()
+	s, err := Start(cfg, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		s.Run()
+		close(done)
+	}()
+	look := func(f func() bool) (seen bool) {
+		answer := make(chan bool)
+		for end := time.Now().Add(20 * time.Second); !seen && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			s.post(func() { answer <- f() })
+			seen = <-answer
+		}
+		return seen
+	}
+	conn, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Write(resp.AppendCommand(nil, []byte("OUT.ADD"), []byte("0"), []byte("late"), []byte("c=status,d=1200,dest=1"), nil))
+	if line := <-places[0].told; !strings.Contains(line, `"late"`) {
+		t.Errorf("the first platform heard %q", line)
+	}
+	s.Reload(nil, io.ErrUnexpectedEOF)
+	for _, p := range places[1:] {
+		fresh := *cfg
+		fresh.Discovery = p.addr()
+		s.Reload(&fresh, nil)
+		<-p.asked
+	}
+	if line := <-places[2].told; !strings.Contains(line, `"late"`) {
+		t.Errorf("the last platform heard %q", line)
+	}
+	if !look(func() bool { return len(s.endings) == 0 && len(s.watches) == 1 && s.endpoints["new"] != nil }) {
+		t.Errorf("endings %d, watches %d, endpoints %v", len(s.endings), len(s.watches), s.endpoints)
+	}
+	conn.Close()
+	s.Drain()
+	<-done
+}
+
+// directoryStandIn is one address of discovery: its watch may tell of an endpoint, its platform may answer.
+type directoryStandIn struct {
+	*httptest.Server
+	told           chan string
+	asked          chan struct{}
+	tells, answers bool
+}
+
+func (p *directoryStandIn) addr() string { return p.Listener.Addr().String() }
+
+func (p *directoryStandIn) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/outcomes" {
+		body, _ := io.ReadAll(r.Body)
+		p.told <- string(body)
+		if p.answers {
+			out.WriteHeader(http.StatusNoContent)
+			return
+		}
+	} else {
+		p.asked <- struct{}{}
+		if p.tells {
+			io.WriteString(out, `{"version":3,"full":false,"servers":[{"id":"new","addr":"127.0.0.1:3","zone":"z","kind":"one","cell":3,"state":"up"}]}`+"\n")
+			out.(http.Flusher).Flush()
+		}
+	}
+	<-r.Context().Done()
+}
