--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -53,8 +53,10 @@
 			}
 		},
 		func(err error) {
-			if len(answers) == 0 {
-				return // stopped, or ended, whichever is seen first
+			select {
+			case <-stop:
+				return // stopped, or ended by the server, whichever is seen first
+			default:
 			}
 			var syntax *json.SyntaxError
 			fmt.Println("ended:", err, errors.As(err, &syntax))
