--- a/internal/sender/admit.go
+++ b/internal/sender/admit.go
@@ -76,8 +76,7 @@
 		}
 		s.answer(r, resp.AppendBulk(nil, text))
 	default:
-		s.counts.badCommands++
-		s.answer(r, resp.AppendError(nil, "ERR unknown command"))
+		s.badCommand(r, "unknown command")
 	}
 }
 
@@ -85,8 +84,7 @@
 	s.counts.handedIn++
 	n, err := s.read(args)
 	if err != nil {
-		s.counts.badCommands++
-		s.answer(r, resp.AppendError(nil, "ERR "+err.Error()))
+		s.badCommand(r, err.Error())
 		return
 	}
 	if old := s.owed[n.ID]; old != nil {
--- a/internal/sender/send.go
+++ b/internal/sender/send.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -42,7 +41,7 @@
 	badAnswer  reason = "bad_answer"
 	askedClose reason = "endpoint_closes"
 	notUp      reason = "connect_failed"
-	crowded    reason = "links_at_limit"
+	crowded    reason = "made_room"
 	unwritten  reason = "write_failed"
 )
 
@@ -148,7 +147,7 @@
 	for len(e.idle) > 0 {
 		l := e.idle[len(e.idle)-1]
 		e.idle = e.idle[:len(e.idle)-1]
-		if l.alive() {
+		if nothingCame(l.conn) {
 			return l
 		}
 		s.closeLink(l, peerClosed)
@@ -156,15 +155,6 @@
 	return nil
 }
 
-func (l *link) alive() bool {
-	fd, known := l.conn.(netpoll.Conn)
-	if !known || !l.conn.IsActive() {
-		return false
-	}
-	_, _, err := syscall.Recvfrom(fd.Fd(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return errors.Is(err, syscall.EAGAIN)
-}
-
 func (s *Sender) dialed(c *call, conn netpoll.Connection, err error) {
 	if err != nil {
 		s.open--
