--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,6 +27,7 @@
 	failsToAside  = 2                // failures in a row
 	refusedRun    = 2                // refusals in a row, with nothing done for quietFor, mean shut
 	quietFor      = 2 * Second
+	crowdedFor    = Second / 2         // since something was done, a refusal without a limit is a full queue's
 	usedUp        = 0.3                // share of an allowance left up to which it explains a refusal
 	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
 	firstTrial    = 300 * Millisecond  // first pause before an endpoint set aside is tried
@@ -128,7 +129,7 @@
 	zone                                                               ZoneNo
 	slots, laneMax, maxOpen, maxTries                                  int
 	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare float64
-	connIdle, now, born, base, cap, turn, cold, keyRest, askAt         Time
+	now, born, base, cap, turn, cold, keyRest, connIdle, askAt         Time
 	longest, askEvery                                                  Time // 0 for none
 	probes, watching, halving                                          bool
 	lastTimer                                                          TimerID
@@ -148,14 +149,12 @@
 	s := &Sender{
 		h: h, chance: newChance(id, seed), now: h.Now(), born: h.Now(),
 		workloads: set.Workloads, halving: set.Halving, slots: set.Slots,
-		laneMax: max(1, set.Slots/laneShare),
-		maxOpen: set.MaxOpen, maxTries: set.MaxDispatches, senders: float64(set.Senders),
-		zone: set.Zone, longest: set.LongestReturn, overGain: set.OverShareGain,
-		probes: set.Probing && set.Senders <= smallFleet,
+		laneMax: max(1, set.Slots/laneShare), maxOpen: set.MaxOpen, maxTries: set.MaxDispatches,
+		senders: float64(set.Senders), zone: set.Zone, longest: set.LongestReturn, overGain: set.OverShareGain,
+		probes: set.Probing && set.Senders <= smallFleet, connIdle: set.ConnIdle, turn: max(1, set.Turn),
 
 		fallRate: set.FallMultiple * coldPart, coldShare: set.ColdFrom, cold: set.Cold, keyRest: set.KeyRest,
 		held: map[NoticeID]*notice{}, timers: map[TimerID]*notice{},
-		connIdle: set.ConnIdle, turn: max(1, set.Turn),
 		lines: map[OrderKey]*keyLine{}, byID: map[DestinationID]*destination{},
 		endpoints: map[EndpointID]*endpoint{},
 	}
@@ -345,10 +344,8 @@
 }
 
 func (s *Sender) usual(d *destination) float64 {
-	for _, e := range d.ranked {
-		if e.listed && !e.aside {
-			return e.mean
-		}
+	if i := slices.IndexFunc(d.ranked, func(e *endpoint) bool { return e.listed && !e.aside }); i >= 0 {
+		return d.ranked[i].mean
 	}
 	return s.prior
 }
@@ -526,6 +523,9 @@
 	}
 	if limited && o.Wait <= longWait {
 		s.comeBack(e, c.sentAt)
+	} else if o.Wait == 0 && e.d.kind.reports && r.limit == 0 && !e.aside && s.now-r.lastGood < crowdedFor {
+		e.limit = max(1, min(e.limit, float64(e.calls)-1)) // a pace cut for it would starve what has no limit
+		return
 	} else if e.aside || e.d.kind.reports {
 		s.failed(e, o.Report.Limit)
 	} else if o.Wait == 0 && r.run >= refusedRun && s.now-r.lastGood > quietFor && s.now >= r.haltUntil {
