Spoilt answers end call and link at once, never count as never run, and set nobody aside

Checked in the code and by TestSockets' new rows: an answer that stopped in the middle held its slot until the time-out and a delivered 200 was then told as given up (expire); noise without a line end was waited for (http1.Status); a 503 line before a broken head counted as never run (cutOff); half a report said that there is no limit (told); two spoilt answers in a row set a healthy endpoint aside for a cold time (learn). Ruled out: bytes behind a good answer, which were seen.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -426,11 +426,11 @@
 		s.hangUp(c)
 	}
 	switch o.Result {
-	case Errored, TimedOut, Reset, Cancelled:
+	case Errored, TimedOut, Reset, Cancelled, Spoilt:
 		if !n.MayRun {
 			n.MayRun, n.RanAt, n.RanIn = true, n.sentAt, c.e.zone
 		}
-		if n.line != nil && o.Result != Errored {
+		if n.line != nil && o.Result != Errored && o.Result != Spoilt {
 			n.line.restUntil = s.now + s.keyRest
 		}
 	}
@@ -494,8 +494,10 @@
 		}
 	case Full:
 		s.refused(c, o)
-	case Errored, Reset:
-		s.failed(e, 0)
+	case Errored, Reset, Spoilt:
+		if o.Result != Spoilt || s.now-e.goodAt > quietFor { // else it lives, and the next answer may be whole
+			s.failed(e, 0)
+		}
 	case ConnectFailed:
 		e.d.kind.short += meanGain * (1 - e.d.kind.short)
 		fallthrough
@@ -611,11 +613,6 @@
 	e.cold.level = 1 - s.chance.share(string(e.id))*max(0, 1-2/s.senders)
 }
 
-// known is a route's limit as this sender's part in calls a second: by report, rating or own past.
-func (s *Sender) known(r *route) float64 {
-	return max(max(leastPace, r.limit)/s.senders, r.rating, r.peak)
-}
-
 // coldReady bounds all that goes to what is set aside or may be cold, against pushing it over.
 func (s *Sender) coldReady(e *endpoint) bool {
 	if !e.aside && s.now >= e.coldFrom+s.cold {
@@ -629,7 +626,9 @@
 	if !e.aside {
 		warm += (1 - warm) * float64(s.now-e.coldFrom) / float64(s.cold)
 	}
-	e.cold.rate = max(coldFloor/seconds(s.cold), s.fallRate*warm*s.known(e.route)) / float64(ends)
+	// The route's limit as this sender's part in calls a second: by report, rating or own past.
+	known := max(max(leastPace, e.route.limit)/s.senders, e.route.rating, e.route.peak)
+	e.cold.rate = max(coldFloor/seconds(s.cold), s.fallRate*warm*known) / float64(ends)
 	return e.cold.fill(s.now, 1) >= 1
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -430,3 +430,24 @@
 	// 200.0   dispatch u to a
 	// 200.0   dispatch t to a
 }
+
+// Spoilt answers do not set an endpoint aside that has just answered others: it has run them.
+func ExampleSender_spoilt() {
+	d := open(plain()).take(0, 1, "p").ended(Done, 0, "a", "p")
+	for _, id := range []NoticeID{"q", "r"} {
+		d.take(2, 1, id).ended(Spoilt, 0, "a", id)
+	}
+	fmt.Println("aside:", d.s.endpoints["a"].aside)
+	d.run(quietFor+tick).take(2, 1, "s").ended(Spoilt, 0, "a", "s")
+	fmt.Println("aside:", d.s.endpoints["a"].aside)
+	// Output:
+	// 0.0     dispatch p to a
+	// 0.0     dispatch q to a
+	// 0.0     give up q
+	// 0.0     dispatch r to a
+	// 0.0     give up r
+	// aside: false
+	// 2050.0  dispatch s to a
+	// 2050.0  give up s
+	// aside: true
+}
--- a/choice/host.go
+++ b/choice/host.go
@@ -142,6 +142,7 @@
 	Reset
 	Cancelled
 	Moot
+	Spoilt // answered, but nothing can be made of it: it may have run
 )
 
 // Report is what an answer tells of a limit; Known is false where it tells nothing.
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -51,6 +51,10 @@
 func Status(buf []byte) (int, error) {
 	end := bytes.IndexByte(buf, '\n')
 	if end < 0 {
+		// Known early, or whoever sends noise without a line end is waited for.
+		if start := "HTTP/1."; string(buf[:min(len(buf), len(start))]) != start[:min(len(buf), len(start))] {
+			return 0, ErrHead
+		}
 		if len(buf) > MaxHead {
 			return 0, ErrSize
 		}
--- a/internal/sender/book.go
+++ b/internal/sender/book.go
@@ -60,10 +60,10 @@
 	delivered, handedBack, givenUp, posted, postsFailed    int64
 	clientsEnded, linksEnded, watchesEnded, rewritings     int64
 	reloads                                                int64
-	outcomes                                               [choice.Moot + 1]int64
+	outcomes                                               [choice.Spoilt + 1]int64
 }
 
-var resultNames = [choice.Moot + 1]string{"done", "errored", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot"}
+var resultNames = [choice.Spoilt + 1]string{"done", "errored", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot", "spoilt"}
 
 // Counters are a line each, name:value.
 func (s *Sender) Counters() (lines []string) {
--- a/internal/sender/relay.go
+++ b/internal/sender/relay.go
@@ -7,12 +7,16 @@
 	"bytes"
 	"encoding/json"
 	"math"
+	"slices"
 	"strconv"
 
 	"flaxcove/choice"
 	"flaxcove/internal/http1"
 )
 
+// mostLimit is the highest limit, in calls a second, that a report is believed.
+const mostLimit = 1e6
+
 // answer is what an endpoint's answer says of a call.
 type answer struct {
 	result choice.Result
@@ -86,16 +90,13 @@
 	return fields, values
 }
 
+// told is the report where it is whole and makes sense. Half a one would say that there is no limit.
 func (a *answer) told() (r choice.Report) {
-	for i, name := range a.fields {
-		switch name {
-		case "x0":
-			r.Known, r.Left = true, a.report[i]
-		case "x1":
-			r.Known, r.Limit = true, a.report[i]
-		}
+	left, limit := slices.Index(a.fields, "x0"), slices.Index(a.fields, "x1")
+	if left < 0 || limit < 0 || a.report[left] < 0 || a.report[left] > 1 || a.report[limit] < 0 || a.report[limit] > mostLimit {
+		return r
 	}
-	return r
+	return choice.Report{Known: true, Left: a.report[left], Limit: a.report[limit]}
 }
 
 // cutOff is the outcome of a call whose connection ended before its answer was whole.
@@ -104,13 +105,20 @@
 	switch {
 	case unsent && !end.began:
 		a.result = choice.ConnectFailed
-	case end.status != 0 && (len(c.notices) == 1 || end.status != 200):
-		// The status line alone says how a call with one notice ended.
-		a.result, a.final = of(end.status)
+	case end.status == 200 && len(c.notices) == 1:
+		// The first line alone says that a call with one notice is delivered; any other proves nothing.
+		a.result, a.final = choice.Done, true
+	case end.began:
+		a.result = choice.Spoilt
 	}
 	return a
 }
 
+// spoilt tells whether a bundle's answer does not say how its notices fared.
+func (a *answer) spoilt(c *call) bool {
+	return len(c.notices) > 1 && a.result == choice.Done && a.states == nil
+}
+
 // answered is told of a whole answer on a link.
 func (s *Sender) answered(l *link, a answer) {
 	c := l.call
@@ -120,7 +128,7 @@
 		return
 	}
 	c.over = true
-	if a.close {
+	if a.close || a.spoilt(c) {
 		l.call = nil
 		s.closeLink(l, askedClose)
 	} else {
@@ -141,7 +149,7 @@
 		o := choice.Outcome{Notice: n.ID, Dispatch: n.tries - 1, Endpoint: c.e.id, Took: took,
 			Result: a.result, Final: a.final, Wait: a.wait, NoSlot: a.noSlot, Report: a.told()}
 		if len(c.notices) > 1 && a.result == choice.Done {
-			o.Result, o.Final = choice.Errored, false // unless the answer names it
+			o.Result, o.Final = choice.Spoilt, false // unless the answer names it
 			if status, known := states[a.states[n.ID]]; known {
 				o.Result, o.Final = of(status)
 			}
@@ -162,7 +170,7 @@
 func (s *Sender) record(n *notice, c *call, o choice.Outcome) {
 	s.counts.outcomes[o.Result]++
 	switch o.Result {
-	case choice.Errored, choice.TimedOut, choice.Reset, choice.Cancelled:
+	case choice.Errored, choice.TimedOut, choice.Reset, choice.Cancelled, choice.Spoilt:
 		if !n.MayRun {
 			n.MayRun, n.RanAt, n.RanIn = true, c.began, c.e.zone
 		}
--- a/internal/sender/send.go
+++ b/internal/sender/send.go
@@ -28,6 +28,9 @@
 	// settleFor lies between the end of a given-up call's connection and what the module does next: its
 	// endpoint must see the end before a new call with the same notice, or counts two at once.
 	settleFor = 10 * time.Millisecond
+	// restFor is how long the rest of an answer may take: endpoints write one in one go, and what stops in the
+	// middle would hold a slot until the call's time-out.
+	restFor = 250 * time.Millisecond
 )
 
 var errUnasked = errors.New("bytes that nobody asked for")
@@ -65,12 +68,18 @@
 	answer http1.Answer
 
 	asked atomic.Bool // a call was written and its answer has not come whole; shared with the loop
+	bad   atomic.Bool // what came cannot be an answer
+	// reading holds from taking bytes in until it is clear whether they were asked for, so that bytes nobody asked
+	// for are never taken for the start of the answer to a call that is written in that moment.
+	reading sync.Mutex
+	halfway bool // netpoll's callback: the loop knows that the answer has begun
 
 	// netpoll drops a closed connection's buffers, and laying bytes up in them then ends the process.
 	bufferLock sync.Mutex
 	noBuffer   bool
 
 	call    *call // loop, as all below
+	began   *call // whose answer has begun
 	writing bool
 	unsent  bool // the last write did not bring its last byte away
 	ended   *partial
@@ -249,7 +258,9 @@
 // write sends a call on a link. A goroutine does, since netpoll waits where the endpoint reads slowly.
 func (s *Sender) write(c *call, l *link) {
 	c.link, l.call, l.writing = l, c, true
-	l.asked.Store(true)
+	l.reading.Lock()
+	l.asked.Store(l.conn.Reader().Len() == 0)
+	l.reading.Unlock()
 	head, body := s.request(c)
 	go func() {
 		err := l.send(head, body)
@@ -315,10 +326,27 @@
 
 // onBytes reads what an endpoint says and hands on each whole answer.
 func (l *link) onBytes(_ context.Context, conn netpoll.Connection) error {
+	tell, err := l.read(conn)
+	if tell != nil {
+		l.s.post(tell)
+	}
+	if err != nil {
+		// At once: it may go on for gigabytes.
+		l.bad.Store(true)
+		err = errors.Join(err, conn.Close())
+	}
+	return err
+}
+
+// read takes in what has come and returns what the loop is to be told. It tells nothing itself, since the loop may
+// wait for the lock.
+func (l *link) read(conn netpoll.Connection) (tell func(), err error) {
+	l.reading.Lock()
+	defer l.reading.Unlock()
 	r := conn.Reader()
 	piece, err := r.Next(r.Len())
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if l.asked.Load() {
 		err = l.answer.Feed(piece)
@@ -332,12 +360,25 @@
 		a.close = a.close || l.answer.Left() > 0
 		l.answer = http1.Answer{}
 		l.asked.Store(false)
-		l.s.post(func() { l.s.answered(l, a) })
+		l.halfway = false
+		return func() { l.s.answered(l, a) }, nil
 	}
-	if err != nil {
-		l.s.post(func() { l.s.closeLink(l, badAnswer) })
+	if err == nil && !l.halfway {
+		l.halfway = true
+		return func() { l.s.answerBegan(l) }, nil
 	}
-	return nil
+	return nil, err
+}
+
+// answerBegan sees to it that the rest of the answer comes soon. What had come by then decides how the call ended.
+func (s *Sender) answerBegan(l *link) {
+	c := l.call
+	l.began = c
+	s.after(restFor, func() {
+		if c != nil && l.call == c && !c.over {
+			s.closeLink(l, badAnswer)
+		}
+	})
 }
 
 // expire gives a call up: whatever it may still do, its connection ends, and the module hears of it once the
@@ -352,6 +393,11 @@
 		return
 	}
 	l := c.link
+	if l.began == c {
+		// Not without an answer: if its first line says so, it has been delivered.
+		s.closeLink(l, badAnswer)
+		return
+	}
 	l.call = nil
 	c.over = true
 	s.closeLink(l, gaveUp)
@@ -369,6 +415,9 @@
 func (s *Sender) linkEnded(l *link, end *partial) {
 	if !l.closing {
 		l.closing, l.why = true, peerClosed
+		if l.bad.Load() {
+			l.why = badAnswer
+		}
 	}
 	l.e.idle = slices.DeleteFunc(l.e.idle, func(other *link) bool { return other == l })
 	s.open--
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -329,6 +329,62 @@
 	// call b: GET /-/healthy
 }
 
+// A report counts where it is whole and makes sense; half a one would say that there is no limit.
+func Example_reports() {
+	for _, text := range []string{"x0=0.4,x1=25", "x1=0, x0=1", "x0=0.4", "x0=0.4,x1=", "x0=7,x1=25", "x0=0.4,x1=-1", "x0=NaN,x1=1", ";;\xff"} {
+		a := answer{}
+		a.fields, a.report = readReport([]byte(text))
+		fmt.Printf("%q %+v\n", text, a.told())
+	}
+	// Output:
+	// "x0=0.4,x1=25" {Known:true Left:0.4 Limit:25}
+	// "x1=0, x0=1" {Known:true Left:1 Limit:0}
+	// "x0=0.4" {Known:false Left:0 Limit:0}
+	// "x0=0.4,x1=" {Known:false Left:0 Limit:0}
+	// "x0=7,x1=25" {Known:false Left:0 Limit:0}
+	// "x0=0.4,x1=-1" {Known:false Left:0 Limit:0}
+	// "x0=NaN,x1=1" {Known:false Left:0 Limit:0}
+	// ";;\xff" {Known:false Left:0 Limit:0}
+}
+
+// A bundle whose answer cannot be made out may have run, and its link is of no further use.
+func Example_spoiltBundle() {
+	for _, body := range []string{`[{"id":"o1","state":"ok"},{"id":"o2","sta`, "nothing", `[{"id":"o1","state":"ok"}]`} {
+		r := start("", 100).hand("OUT.ADD 0 o1 c=order,d=20000,dest=2 x", "OUT.ADD 0 o2 c=order,d=20000,dest=2 x")
+		var a http1.Answer
+		a.Feed(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		told := readAnswer(&a)
+		fmt.Println("spoilt:", told.spoilt(r.calls[0]))
+		r.s.finish(r.calls[0], told)
+		r.s.turn()
+		os.RemoveAll(r.dir)
+	}
+	// Output:
+	// call b: POST /inbox/bulk
+	//    o2
+	//    o1
+	// client: +OK
+	// client: +OK
+	// spoilt: true
+	// platform: {"message":"o2","outcome":"given_up"}
+	// {"message":"o1","outcome":"given_up"}
+	// call b: POST /inbox/bulk
+	//    o2
+	//    o1
+	// client: +OK
+	// client: +OK
+	// spoilt: true
+	// platform: {"message":"o2","outcome":"given_up"}
+	// {"message":"o1","outcome":"given_up"}
+	// call b: POST /inbox/bulk
+	//    o2
+	//    o1
+	// client: +OK
+	// client: +OK
+	// spoilt: false
+	// platform: {"message":"o2","outcome":"given_up"}
+}
+
 // How a call of a single-use notice ended decides whether it may be sent again.
 func Example_outcomes() {
 	for _, text := range []string{ok, lost, full, "HTTP/1.1 503 Full\nContent-Length: 0\n\n", "HTTP/1.1 503 Full\nX-No-Slot: 1\nContent-Length: 0\n\n",
@@ -352,7 +408,7 @@
 	// "HTTP/1.1 410 Gone\nCo" may have run: false owed: false
 	// "HTTP/1.1 504 Out\nCon" may have run: false owed: true
 	// "HTTP/1.1 200 OK\nCont" may have run: false owed: false
-	// "HTTP/1.1 429 Wait\nCo" may have run: false owed: true
+	// "HTTP/1.1 429 Wait\nCo" may have run: true  owed: false
 	// "HTTP/1."            may have run: true  owed: false
 	// ""                   may have run: true  owed: false
 	// "its last byte was no" may have run: false owed: true
--- a/internal/sender/sockets_test.go
+++ b/internal/sender/sockets_test.go
@@ -59,8 +59,8 @@
 		}
 		defer conn.Close()
 		io.WriteString(conn, string(body))
-		if strings.HasPrefix(id, "slow") {
-			conn.(*net.TCPConn).Read(make([]byte, 1)) // until the sender gives up
+		if strings.HasPrefix(id, "slow") || strings.HasPrefix(id, "open") {
+			conn.(*net.TCPConn).Read(make([]byte, 1)) // until the sender ends it
 		}
 	}
 }
@@ -83,6 +83,13 @@
 		{"error", "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n", "given_up"},
 		{"gone", "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n", ""},
 		{"slow", "HTTP/1.1 2", "given_up"},
+		{"open-200", "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nok", ""},
+		{"open-head", "HTTP/1.1 200 OK\r\nnoise\x00\x01\r\n", ""},
+		{"open-3gb", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok", ""},
+		{"open-noise", "\x00\xff\x01", "given_up"},
+		{"open-503", "HTTP/1.1 503 Full\r\nContent-Le", "given_up"},
+		{"open-1xx", "HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 100 On\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ""},
+		{"open-report", "HTTP/1.1 200 OK\r\nX-Load: x0=\xff\x00,x1\r\nContent-Length: 0\r\n\r\n", ""},
 	}
 	cfg := configure(t.TempDir(), 100)
 	cfg.Listen, cfg.Discovery = "127.0.0.1:0", addr
@@ -136,6 +143,11 @@
 	}
 	s.Drain()
 	<-done
+	for _, a := range answers {
+		if got := w.told(a.id); a.ends == "" && got != a.body {
+			t.Errorf("%s: %q in the end", a.id, got)
+		}
+	}
 	if len(s.owed) != 0 {
 		t.Errorf("%d notices owed at the end", len(s.owed))
 	}
