Unknown destinations and ids that have ended are not taken on again; refusals name a time

Checked: add (admit.go) took any whole number as a destination; an id whose notice had ended was taken for a new one, which would run a single-use one twice. The refusals of a full sender, disk or end named no time; they name the longest that the settings allow.

--- a/internal/sender/admit.go
+++ b/internal/sender/admit.go
@@ -1,8 +1,8 @@
 package sender
 
 // This file admits: it owns the commands clients may send, the table of what is owed, and the journal's records.
-// It must never answer +OK before the record is written, never write two records for one id, and never refuse
-// what it has once taken on: from then on only book.go may end it.
+// It must never answer +OK before the record is written, never write two records for one id, never take on again
+// what has ended, and never refuse what it has once taken on: from then on only book.go may end it.
 
 import (
 	"encoding/binary"
@@ -28,6 +28,9 @@
 	fillShare  = 0.58
 	liveShare  = 0.38
 	endRecords = 3 * (maxID + 64) // bytes of the later records of one notice, at most
+	// An id handed in once more after its notice has ended must not make a single-use one run again. So many are
+	// remembered; at three times the usual rate that is longer than a notice may be held.
+	mostEnded = 8192
 )
 
 // notice is one that was handed in and has not ended. It leaves Sender.owed when nothing more is owed for it.
@@ -51,6 +54,24 @@
 	order    []*notice // those owed in the order taken on, with ended ones among them until a rewriting
 	admitted []*notice // of this turn
 	live     int64     // bytes that a rewriting would keep, at most
+
+	ended    map[choice.NoticeID]struct{} // taken on and over; the oldest leaves for the newest
+	endedIDs []choice.NoticeID            // in a ring
+	endedAt  int
+}
+
+func (a *admission) remember(id choice.NoticeID) {
+	if _, known := a.ended[id]; known {
+		return
+	}
+	if len(a.endedIDs) < mostEnded {
+		a.endedIDs = append(a.endedIDs, id)
+	} else {
+		delete(a.ended, a.endedIDs[a.endedAt])
+		a.endedIDs[a.endedAt] = id
+		a.endedAt = (a.endedAt + 1) % mostEnded
+	}
+	a.ended[id] = struct{}{}
 }
 
 // told is a notice as the module takes it.
@@ -96,8 +117,20 @@
 		}
 		return
 	}
+	if _, over := s.admission.ended[n.ID]; over {
+		s.answer(r, resp.AppendSimple(nil, "OK"))
+		return
+	}
+	if _, known := s.cells[n.Destination]; !known && s.listTold {
+		s.badCommand(r, "dest: no such destination")
+		return
+	} else if !known {
+		// The list from before the start may be out of date.
+		s.refuse(r, s.longestReturn())
+		return
+	}
 	if len(s.owed) >= s.cfg.Settings.MaxOpen || !s.room(n) || s.failing || s.late() {
-		s.refuse(r, 0)
+		s.refuse(r, s.longestReturn())
 		return
 	}
 	n.reply = r
@@ -109,6 +142,11 @@
 // late tells whether a planned end is too near to begin anything.
 func (s *Sender) late() bool { return s.draining && s.sinceDrain() >= sendFor }
 
+// longestReturn, in milliseconds, is what a client is told where no more can be taken on whatever it is.
+func (s *Sender) longestReturn() int64 {
+	return int64(s.cfg.Settings.LongestReturn / choice.Millisecond)
+}
+
 // refuse tells a client that it may come again, and when, if that is known.
 func (s *Sender) refuse(r *reply, ms int64) {
 	s.counts.refused++
@@ -155,8 +193,9 @@
 }
 
 func number(text string) float64 {
+	// Digits, and decimals at most: names like Infinity, exponents and hexadecimal ones are nobody's meaning.
 	v, err := strconv.ParseFloat(text, 64)
-	if err != nil || v != v {
+	if err != nil || strings.Trim(text, "0123456789.") != "" {
 		return -1
 	}
 	return v
@@ -194,6 +233,10 @@
 			}
 		}
 	}
+	if len(s.order) > 2*len(s.owed)+mostEnded {
+		// On a large disk a rewriting may be long in coming.
+		s.order = deleteEnded(s.order)
+	}
 	var err error
 	if s.journal.Size() > int64(fillShare*float64(s.journal.Limit())) {
 		s.order = deleteEnded(s.order)
@@ -306,7 +349,7 @@
 
 // openJournal rebuilds what an earlier process owed, in the order it was taken on.
 func (s *Sender) openJournal() (unfinished []*notice, err error) {
-	s.owed = map[choice.NoticeID]*notice{}
+	s.owed, s.admission.ended = map[choice.NoticeID]*notice{}, map[choice.NoticeID]struct{}{}
 	limit := int64(s.cfg.Limits.DiskMB * 1e6)
 	j, dropped, err := journal.Open(s.cfg.State, limit, s.replay)
 	if err != nil {
@@ -364,6 +407,7 @@
 	case recOver:
 		n.ending.what = endOver
 		delete(s.owed, id)
+		s.remember(id)
 	}
 }
 
--- a/internal/sender/book.go
+++ b/internal/sender/book.go
@@ -111,6 +111,7 @@
 	n.ending.what = endOver
 	delete(s.owed, n.ID)
 	if n.lasting {
+		s.remember(n.ID)
 		s.journal.Add(plainRecord(recOver, n.ID))
 		s.live -= n.size + endRecords
 	}
--- a/internal/sender/route.go
+++ b/internal/sender/route.go
@@ -19,6 +19,7 @@
 type endpoint struct {
 	id     choice.EndpointID
 	addr   string
+	dest   choice.DestinationID
 	zone   choice.ZoneNo
 	bundle int
 	gone   bool
@@ -30,9 +31,17 @@
 type routing struct {
 	endpoints map[choice.EndpointID]*endpoint
 	starting  []*call // of this turn
+	// When a destination last had an endpoint, as of the last news; it leaves once that is keepCell ago.
+	cells    map[choice.DestinationID]time.Duration
+	listTold bool // discovery has spoken to this process
 }
 
-func (r *routing) init() { r.endpoints = map[choice.EndpointID]*endpoint{} }
+// keepCell is how long notices for a destination without endpoints are still taken on.
+const keepCell = time.Minute
+
+func (r *routing) init() {
+	r.endpoints, r.cells = map[choice.EndpointID]*endpoint{}, map[choice.DestinationID]time.Duration{}
+}
 
 func (s *Sender) listNews(l directory.List, stale bool) {
 	entries, unread := s.names.Entries(l)
@@ -60,14 +69,23 @@
 		}
 		kinds := s.cfg.Settings.Kinds
 		e.zone, e.bundle = entry.Zone, kinds[max(0, min(int(entry.Kind), len(kinds)-1))].BundleMax
-		e.gone = entry.Stage == choice.Gone
+		e.dest, e.gone = entry.Destination, entry.Stage == choice.Gone
 	}
+	now := s.sinceStart()
 	for _, e := range s.endpoints {
 		if e.gone {
 			s.closeIdle(e, unlisted)
 			s.forget(e)
+		} else {
+			s.cells[e.dest] = now
+		}
+	}
+	for id, at := range s.cells {
+		if now-at > keepCell {
+			delete(s.cells, id)
 		}
 	}
+	s.listTold = s.listTold || !stale
 	s.module.ListNews(entries, l.Full, stale)
 }
 
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -36,7 +36,8 @@
 "extra":{"bundleMax":[1,3],"callsOut":8},"rules":{"cold":1000000000,"coldFrom":0.5,"fallMultiple":2},"stats":{"fields":["x0","x1"]}}`
 
 const known = `{"version":1,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1","zone":"z","kind":"one","cell":1,"state":"up","weight":100},
-{"id":"b","addr":"127.0.0.1:2","zone":"z","kind":"many","cell":2,"state":"up","weight":100}]}`
+{"id":"b","addr":"127.0.0.1:2","zone":"z","kind":"many","cell":2,"state":"up","weight":100},
+{"id":"z","addr":"127.0.0.1:9","zone":"z","kind":"one","cell":9,"state":"draining","weight":100}]}`
 
 func configure(dir string, maxOpen int) *config.Config {
 	var b config.Boot
@@ -227,10 +228,12 @@
 // What is wrong with a command is said and takes nothing on; an id handed in once more is taken on already.
 func Example_commands() {
 	r := start("", 3).hand("PING", "ping hello", "FLUSHALL", "OUT.ADD 00 a", "OUT.ADD 00 a c=nil,d=1,dest=1 x",
-		"OUT.ADD 00 a c=status,d=-1,dest=1 x", "OUT.ADD 00 a c=status,d=1e99,dest=1 x", "OUT.ADD 00 a c=status,d=NaN,dest=1 x",
+		"OUT.ADD 00 a c=status,d=-1,dest=1 x", "OUT.ADD 00 a c=status,d=1e99,dest=1 x", "OUT.ADD 00 a c=status,d=0x10,dest=1 x",
 		"OUT.ADD 00 a c=status,d=900,dest=1.5 x", "OUT.ADD 00 \"a c=status,d=900,dest=1 x", "OUT.ADD 00 new c=status,d=900,dest=9,x=y,r=1 x")
 	r.hand("OUT.ADD 00 new c=status,d=900,dest=9 x", "OUT.ADD 00 soon c=status,d=1,dest=9 x")
 	r.hand("OUT.ADD 00 two c=status,d=6000,dest=9 x", "OUT.ADD 00 three c=status,d=6000,dest=9 x", "OUT.ADD 00 four c=status,d=6000,dest=9 x")
+	// Where the list is from before the start, an unknown destination may be a new one.
+	r.hand("OUT.ADD 00 five c=status,d=6000,dest=77 x").list(`{"version":2}`).hand("OUT.ADD 00 five c=status,d=6000,dest=77 x")
 	os.RemoveAll(r.dir)
 	// Output:
 	// client: +PONG
@@ -250,7 +253,9 @@
 	// platform: {"message":"new","outcome":"handed_back","retry_in_ms":200}
 	// client: +OK
 	// client: +OK
-	// client: -BUSY
+	// client: -BUSY 2000
+	// client: -BUSY 2000
+	// client: -ERR dest: no such destination
 }
 
 // The journal keeps within its part of the disk, refuses what does not fit, and comes back whole.
@@ -355,8 +360,9 @@
 		a.Feed(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
 		told := readAnswer(&a)
 		fmt.Println("spoilt:", told.spoilt(r.calls[0]))
+		r.calls[0].over = true
 		r.s.finish(r.calls[0], told)
-		r.s.turn()
+		r.turn(5 * time.Millisecond)
 		os.RemoveAll(r.dir)
 	}
 	// Output:
@@ -430,7 +436,7 @@
 	// call a: POST /inbox
 	//    early
 	// client: +OK
-	// client: -BUSY
+	// client: -BUSY 2000
 	// owed: 1 to the platform: 0
 	// ended: true
 	// owed: 1 to the platform: 0
@@ -480,6 +486,30 @@
 	// half a command: true true
 }
 
+// An id that comes again after its end is taken on already, through a kill too: a single-use one never runs again.
+func Example_endedID() {
+	const text = "OUT.ADD 00 or c=order,d=20000,dest=1 x"
+	r := start("", 100).hand(text).answer(ok).hand(text).owed()
+	fmt.Println("killed")
+	start(r.dir, 100).hand(text).owed()
+	os.RemoveAll(r.dir)
+	for i := range 3 * mostEnded {
+		r.s.remember(choice.NoticeID(fmt.Sprint(i)))
+	}
+	_, oldest := r.s.admission.ended[choice.NoticeID(fmt.Sprint(2*mostEnded))]
+	fmt.Println(len(r.s.admission.ended) == mostEnded, oldest)
+	// Output:
+	// call a: POST /inbox
+	//    or
+	// client: +OK
+	// client: +OK
+	// owed: 0 to the platform: 0
+	// killed
+	// client: +OK
+	// owed: 0 to the platform: 0
+	// true true
+}
+
 // A list that drops an endpoint, or moves it, takes its connections along; unreadable entries are left out.
 func Example_list() {
 	r := start("", 100)
@@ -492,7 +522,7 @@
 	// call c: POST /inbox
 	//    x
 	// client: +OK
-	// 2 true
+	// 3 true
 }
 
 // FuzzReplay: no record crashes a start, and what is owed after it can be written and read again.
