--- a/internal/sender/admit.go
+++ b/internal/sender/admit.go
@@ -31,6 +31,7 @@
 	// An id handed in once more after its notice has ended must not make a single-use one run again. So many are
 	// remembered; at three times the usual rate that is longer than a notice may be held.
 	mostEnded = 8192
+	mostOver  = 1024 // ended ones left among those in order, but for as many as are owed
 )
 
 // notice is one that was handed in and has not ended. It leaves Sender.owed when nothing more is owed for it.
@@ -233,7 +234,7 @@
 			}
 		}
 	}
-	if len(s.order) > 2*len(s.owed)+mostEnded {
+	if len(s.order) > 2*len(s.owed)+mostOver {
 		// On a large disk a rewriting may be long in coming.
 		s.order = deleteEnded(s.order)
 	}
