An endpoint back within 1.5 s of its last answer was not down and keeps no cold budget

Checked with a probe at each shed: destinations with 100 to 340 held notices and 2 calls out, cold 10 to 13 s, budget 8 a second where 40 are usual; each had answered within 50 ms before. Two chance resets in a row set an endpoint aside, and comeBack (choice.go) took every return for one from an outage. Ruled out: paces (unpaced), limits told, slots (7 of 23).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,8 +32,9 @@
 	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
 	firstTrial    = 300 * Millisecond  // first pause before an endpoint set aside is tried
 	lastTrial     = 2 * Second
-	lastGuess     = 8 * Second // longest wait assumed where refusals tell none
-	coldPart      = 1.2        // times its known part: a limit or own throughput lies under the capacity
+	blinkFor      = 1500 * Millisecond // between answers: too short for an outage with a cold start
+	lastGuess     = 8 * Second         // longest wait assumed where refusals tell none
+	coldPart      = 1.2                // times its known part: a limit or own throughput lies under the capacity
 
 	smallFleet = 8          // senders up to which each may probe and try every endpoint of a route
 	coldFloor  = 1.0        // calls a cold time that a sender may make whatever it knows
@@ -99,24 +100,25 @@
 
 type endpoint struct {
 	times
-	id                                                        EndpointID
-	d                                                         *destination
-	route                                                     *route
-	zone                                                      ZoneNo
-	calls, fails                                              int
-	limit                                                     float64
-	used                                                      meter
-	goodAt, failAt, asideAt, step, tryAt, coldFrom, linkUntil Time
-	listed, aside, passed, probing                            bool
-	cold                                                      bucket
-	open                                                      *call
+	id                                              EndpointID
+	d                                               *destination
+	route                                           *route
+	zone                                            ZoneNo
+	calls, fails                                    int
+	limit                                           float64
+	used                                            meter
+	goodAt, failAt, asideAt, step, tryAt, linkUntil Time
+	coldFrom, coldWas                               Time // coldWas before it was set aside
+	listed, aside, passed, probing                  bool
+	cold                                            bucket
+	open                                            *call
 }
 
 // call is one slot: the notices sent to one endpoint in one turn, until all have their outcomes.
 type call struct {
 	e                         *endpoint
 	sentAt                    Time
-	n, left                   int
+	n, left, turn             int
 	lane, judged, lost, fresh bool // fresh: on a new connection
 }
 
@@ -127,7 +129,7 @@
 	kinds                                                              []kind
 	shares                                                             []bucket // by account
 	zone                                                               ZoneNo
-	slots, laneMax, maxOpen, maxTries                                  int
+	slots, laneMax, maxOpen, maxTries, turns                           int
 	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare float64
 	now, born, base, cap, turn, cold, keyRest, connIdle, askAt         Time
 	longest, askEvery                                                  Time // 0 for none
@@ -142,7 +144,6 @@
 	waiting   []*destination                 // those with a queued notice, longest waiting first
 	stirred   []*destination                 // those the next tick looks at; emptied as they settle
 	calls     []*call                        // at most one for each slot
-	opened    []*endpoint                    // emptied at each turn's end
 }
 
 func Start(h Host, id SenderID, seed int64, set Settings) *Sender {
@@ -483,7 +484,6 @@
 		if c.fresh {
 			e.d.kind.short *= 1 - meanGain
 		}
-		e.goodAt, r.lastGood = s.now, s.now
 		r.done++
 		r.good.count(s.now, loadSpan*Time(s.senders))
 		r.peak, e.fails, r.fails, r.run, r.guess = max(r.peak, r.good.rate), 0, 0, 0, 0
@@ -492,6 +492,7 @@
 		} else if e.mean < 2*e.past {
 			e.limit = min(float64(s.slots), e.limit+1/e.limit)
 		}
+		e.goodAt, r.lastGood = s.now, s.now
 	case Full:
 		s.refused(c, o)
 	case Errored, Reset, Spoilt:
@@ -576,14 +577,16 @@
 	if e.aside {
 		e.step = min(lastTrial, 2*e.step)
 	} else {
-		e.aside, e.asideAt, e.step = true, s.now, firstTrial
+		e.aside, e.asideAt, e.step, e.coldWas = true, s.now, firstTrial, e.coldFrom
 		s.chill(e, max(s.now, e.route.haltUntil))
 	}
 	e.failAt, e.passed, e.tryAt = s.now, !s.probes, s.now+e.step/2+s.chance.upTo(string(e.id), e.step/2)
 }
 
 func (s *Sender) comeBack(e *endpoint, sentAt Time) {
-	if e.aside && sentAt >= e.asideAt {
+	if e.aside && s.now-e.goodAt < blinkFor {
+		e.coldFrom = e.coldWas
+	} else if e.aside && sentAt >= e.asideAt {
 		// It returned at some time since the last failure; an answer to a call from before shows no outage.
 		s.chill(e, (e.failAt+s.now)/2)
 	}
@@ -718,10 +721,7 @@
 	for n, e := s.next(); n != nil; n, e = s.next() {
 		s.dispatch(n, e)
 	}
-	for _, e := range s.opened {
-		e.open = nil
-	}
-	s.opened = s.opened[:0]
+	s.turns++
 }
 
 // next takes the fresh tier before any retry; in a tier each queue's newest, by gain for the slot time taken.
@@ -760,7 +760,7 @@
 		if !e.listed || s.now < e.route.haltUntil || n.MayRun && n.w.ZoneGroup && e.zone != n.RanIn {
 			continue
 		}
-		if e.open != nil && !e.aside && e.open.n < n.d.kind.BundleMax {
+		if e.open != nil && e.open.turn == s.turns && !e.aside && e.open.n < n.d.kind.BundleMax {
 			return e
 		}
 		switch {
@@ -784,8 +784,8 @@
 	lane := n.queue == n.d.lane()
 	s.unqueue(n)
 	c := e.open
-	if c == nil || c.n >= n.d.kind.BundleMax {
-		c = &call{e: e, sentAt: s.now, lane: lane, fresh: e.calls == 0 && s.now >= e.linkUntil}
+	if c == nil || c.turn != s.turns || c.n >= n.d.kind.BundleMax {
+		c = &call{e: e, sentAt: s.now, turn: s.turns, lane: lane, fresh: e.calls == 0 && s.now >= e.linkUntil}
 		if lane {
 			n.d.laneOut++
 		}
@@ -799,7 +799,6 @@
 		}
 		e.used.count(s.now, loadSpan*Time(s.senders))
 		s.calls = append(s.calls, c)
-		s.opened = append(s.opened, e)
 	} else {
 		e.cold.level -= rideWeight
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -451,3 +451,21 @@
 	// 2050.0  give up s
 	// aside: true
 }
+
+// An endpoint that was set aside but answers again within 1.5 s of its last answer was not down: it keeps no cold
+// budget. One that was quiet for longer may have restarted.
+func ExampleSender_blink() {
+	for _, pause := range []Time{200 * Millisecond, 1600 * Millisecond} {
+		d := open(plain())
+		d.mute = true
+		a := d.s.endpoints["a"]
+		d.take(0, 1, "p").ended(Done, 0, "a", "p").take(2, 1, "q", "r").ended(Reset, 0, "a", "q", "r")
+		aside := a.aside
+		d.run(pause)
+		d.s.comeBack(a, d.clock)
+		fmt.Println(aside, a.aside, "cold:", d.clock < a.coldFrom+d.s.cold)
+	}
+	// Output:
+	// true false cold: false
+	// true false cold: true
+}
