Calls reset on kept links set nobody aside; single-use notices get new links while those break

Checked with a probe on each link that ended under a call: nearly all had carried a call before, had been idle for 1 to 490 ms and ended 60 to 680 us after the write; 296 requests met closed links. A new connection was seldom reset (46). Ruled out: links kept too long (our idle time is 9.5 s, these ended at any age), ends that had come before the write (takeIdle asks). learn (choice.go) took each for an outage. Outcome.Kept tells them apart.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,6 +32,7 @@
 	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
 	firstTrial    = 300 * Millisecond  // first pause before an endpoint set aside is tried
 	lastTrial     = 2 * Second
+	keptMost      = 0.05               // share reset on kept links from which single-use notices get new ones
 	blinkFor      = 1500 * Millisecond // between answers: too short for an outage with a cold start
 	lastGuess     = 8 * Second         // longest wait assumed where refusals tell none
 	coldPart      = 1.2                // times its known part: a limit or own throughput lies under the capacity
@@ -100,18 +101,17 @@
 
 type endpoint struct {
 	times
-	id                                              EndpointID
-	d                                               *destination
-	route                                           *route
-	zone                                            ZoneNo
-	calls, fails                                    int
-	limit                                           float64
-	used                                            meter
-	goodAt, failAt, asideAt, step, tryAt, linkUntil Time
-	coldFrom, coldWas                               Time // coldWas before it was set aside
-	listed, aside, passed, probing                  bool
-	cold                                            bucket
-	open                                            *call
+	id                                                                 EndpointID
+	d                                                                  *destination
+	route                                                              *route
+	zone                                                               ZoneNo
+	calls, fails                                                       int
+	limit                                                              float64
+	used                                                               meter
+	goodAt, failAt, asideAt, step, tryAt, linkUntil, coldFrom, coldWas Time // coldWas: before aside
+	listed, aside, passed, probing                                     bool
+	cold                                                               bucket
+	open                                                               *call
 }
 
 // call is one slot: the notices sent to one endpoint in one turn, until all have their outcomes.
@@ -123,18 +123,18 @@
 }
 
 type Sender struct {
-	h                                                                  Host
-	chance                                                             chance
-	workloads                                                          []Workload
-	kinds                                                              []kind
-	shares                                                             []bucket // by account
-	zone                                                               ZoneNo
-	slots, laneMax, maxOpen, maxTries, turns                           int
-	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare float64
-	now, born, base, cap, turn, cold, keyRest, connIdle, askAt         Time
-	longest, askEvery                                                  Time // 0 for none
-	probes, watching, halving                                          bool
-	lastTimer                                                          TimerID
+	h                                                                        Host
+	chance                                                                   chance
+	workloads                                                                []Workload
+	kinds                                                                    []kind
+	shares                                                                   []bucket // by account
+	zone                                                                     ZoneNo
+	slots, laneMax, maxOpen, maxTries, turns                                 int
+	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare, kept float64 // kept: see learn
+	now, born, base, cap, turn, cold, keyRest, connIdle, askAt               Time
+	longest, askEvery                                                        Time // 0 for none
+	probes, watching, halving                                                bool
+	lastTimer                                                                TimerID
 
 	held      map[NoticeID]*notice           // emptied as notices end
 	timers    map[TimerID]*notice            // emptied as each fires, at a notice's hard stop at the latest
@@ -184,10 +184,8 @@
 func (s *Sender) ListNews(entries []Entry, whole, stale bool) {
 	s.now = s.h.Now()
 	s.watching = s.watching || !stale
-	if whole {
-		for _, e := range s.endpoints {
-			e.listed = false
-		}
+	for _, e := range s.endpoints {
+		e.listed = e.listed && !whole
 	}
 	for _, entry := range entries {
 		d := s.destination(entry.Destination)
@@ -220,10 +218,8 @@
 func (s *Sender) destination(id DestinationID) *destination {
 	d := s.byID[id]
 	if d == nil {
-		d = &destination{id: id, route: &route{pace: bucket{unpaced, unpaced, s.now}}}
-		for range len(s.workloads) + 2 {
-			d.queues = append(d.queues, list.New())
-		}
+		d = &destination{id: id, queues: lists(len(s.workloads) + 2)}
+		d.route = &route{pace: bucket{unpaced, unpaced, s.now}}
 		s.byID[id] = d
 	}
 	s.stir(d)
@@ -465,9 +461,7 @@
 		s.h.CloseIdle(c.e.id)
 		c.e.linkUntil = s.now
 	}
-	if c.lane {
-		c.e.d.laneOut--
-	}
+	c.e.d.laneOut -= int(one(c.lane))
 	s.calls = slices.DeleteFunc(s.calls, func(other *call) bool { return other == c })
 }
 
@@ -477,6 +471,9 @@
 	if o.Report.Known {
 		r.limit, e.d.kind.reports = o.Report.Limit, true
 	}
+	if o.Kept {
+		s.kept += meanGain * (one(o.Result == Reset) - s.kept)
+	}
 	switch o.Result {
 	case Done:
 
@@ -496,7 +493,8 @@
 	case Full:
 		s.refused(c, o)
 	case Errored, Reset, Spoilt:
-		if o.Result != Spoilt || s.now-e.goodAt > quietFor { // else it lives, and the next answer may be whole
+		// A kept link that breaks or a spoilt answer shows no outage: a crash refuses new connections too.
+		if o.Result == Errored || o.Result == Reset && !o.Kept || s.now-e.goodAt > quietFor {
 			s.failed(e, 0)
 		}
 	case ConnectFailed:
@@ -783,12 +781,13 @@
 func (s *Sender) dispatch(n *notice, e *endpoint) {
 	lane := n.queue == n.d.lane()
 	s.unqueue(n)
+	if n.w.Repeat == SingleUse && s.kept > keptMost {
+		s.h.CloseIdle(e.id)
+	}
 	c := e.open
 	if c == nil || c.turn != s.turns || c.n >= n.d.kind.BundleMax {
 		c = &call{e: e, sentAt: s.now, turn: s.turns, lane: lane, fresh: e.calls == 0 && s.now >= e.linkUntil}
-		if lane {
-			n.d.laneOut++
-		}
+		n.d.laneOut += int(one(lane))
 		e.open = c
 		e.calls++
 		e.cold.level--
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -469,3 +469,23 @@
 	// true false cold: false
 	// true false cold: true
 }
+
+// Calls reset on kept links show no outage, and while they are many, a single-use notice gets a new link.
+func ExampleSender_keptLinks() {
+	d := open(plain())
+	d.links = true
+	d.take(0, 1, "o").ended(Done, 0, "a", "o")
+	for _, id := range []NoticeID{"p", "q"} {
+		d.take(2, 1, id)
+		d.s.Ended(Outcome{Notice: id, Endpoint: "a", Result: Reset, Kept: true})
+	}
+	fmt.Println("aside:", d.s.endpoints["a"].aside)
+	// Output:
+	// 0.0     dispatch o to a
+	// 0.0     dispatch p to a
+	// 0.0     give up p
+	// 0.0     close a
+	// 0.0     dispatch q to a
+	// 0.0     give up q
+	// aside: false
+}
--- a/choice/host.go
+++ b/choice/host.go
@@ -163,6 +163,7 @@
 	Wait     Time // told with Full; 0 when none was
 	NoSlot   bool // told with Moot
 	Report   Report
+	Kept     bool // its connection had carried a call before, where the host can tell
 }
 
 // Host is all that the module can do to the world. Calls take effect in the order made.
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"container/list"
 	"encoding/binary"
 	"hash/crc32"
 	"math"
@@ -10,6 +11,20 @@
 
 func seconds(t Time) float64 { return float64(t) / float64(Second) }
 
+func one(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
+func lists(n int) (all []*list.List) {
+	for range n {
+		all = append(all, list.New())
+	}
+	return all
+}
+
 // chance draws from the seed, an id and a counter.
 type chance struct {
 	seed  []byte
--- a/internal/sender/send.go
+++ b/internal/sender/send.go
@@ -54,6 +54,7 @@
 	e       *endpoint
 	notices []*notice
 	probe   bool
+	kept    bool // its link had carried a call before
 	began   choice.Time
 	lasts   choice.Time // the longest time-out of its notices
 	link    *link       // once it is up
@@ -81,6 +82,7 @@
 	call    *call // loop, as all below
 	began   *call // whose answer has begun
 	writing bool
+	used    bool // it has carried a call
 	unsent  bool // the last write did not bring its last byte away
 	ended   *partial
 	idleAt  time.Duration
@@ -257,7 +259,7 @@
 
 // write sends a call on a link. A goroutine does, since netpoll waits where the endpoint reads slowly.
 func (s *Sender) write(c *call, l *link) {
-	c.link, l.call, l.writing = l, c, true
+	c.link, c.kept, l.call, l.writing, l.used = l, l.used, c, true, true
 	l.reading.Lock()
 	l.asked.Store(l.conn.Reader().Len() == 0)
 	l.reading.Unlock()
