Single-use notices wait where a call stays unanswered while others are answered

Checked with a probe at each shed: its endpoints answered some calls in 60 ms (mean 62, spread 9) and others never; the next single-use notice went to the same endpoint at once (place, choice.go). Ruled out: paces, told limits, refusals (15). Now six calls must be done there first, for 4 s at most and not in a notice's last 2 s.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,6 +33,7 @@
 	firstTrial    = 300 * Millisecond  // first pause before an endpoint set aside is tried
 	lastTrial     = 2 * Second
 	keptMost      = 0.05               // share reset on kept links from which single-use notices get new ones
+	doubtRun      = 6                  // calls done after an unanswered one before single-use notices go there
 	blinkFor      = 1500 * Millisecond // between answers: too short for an outage with a cold start
 	lastGuess     = 8 * Second         // longest wait assumed where refusals tell none
 	coldPart      = 1.2                // times its known part: a limit or own throughput lies under the capacity
@@ -101,17 +102,17 @@
 
 type endpoint struct {
 	times
-	id                                                                 EndpointID
-	d                                                                  *destination
-	route                                                              *route
-	zone                                                               ZoneNo
-	calls, fails                                                       int
-	limit                                                              float64
-	used                                                               meter
-	goodAt, failAt, asideAt, step, tryAt, linkUntil, coldFrom, coldWas Time // coldWas: before aside
-	listed, aside, passed, probing                                     bool
-	cold                                                               bucket
-	open                                                               *call
+	id                                                                        EndpointID
+	d                                                                         *destination
+	route                                                                     *route
+	zone                                                                      ZoneNo
+	calls, fails, doubt                                                       int
+	limit                                                                     float64
+	used                                                                      meter
+	goodAt, failAt, badAt, asideAt, step, tryAt, linkUntil, coldFrom, coldWas Time // coldWas: before aside
+	listed, aside, passed, probing                                            bool
+	cold                                                                      bucket
+	open                                                                      *call
 }
 
 // call is one slot: the notices sent to one endpoint in one turn, until all have their outcomes.
@@ -484,6 +485,7 @@
 		r.done++
 		r.good.count(s.now, loadSpan*Time(s.senders))
 		r.peak, e.fails, r.fails, r.run, r.guess = max(r.peak, r.good.rate), 0, 0, 0, 0
+		e.doubt = max(0, e.doubt-1)
 		if e.aside {
 			s.comeBack(e, c.sentAt)
 		} else if e.mean < 2*e.past {
@@ -546,7 +548,7 @@
 // lost tells of a call without an answer, once. Others answered meanwhile: less at once is enough.
 func (s *Sender) lost(c *call) {
 	if !c.lost && c.e.goodAt > c.sentAt {
-		c.e.limit = max(1, c.e.limit/2)
+		c.e.limit, c.e.doubt, c.e.badAt = max(1, c.e.limit/2), doubtRun, s.now
 	} else if !c.lost {
 		s.failed(c.e, 0)
 	}
@@ -642,8 +644,7 @@
 func (s *Sender) Probed(id EndpointID, result Result) {
 	s.now = s.h.Now()
 	if e := s.endpoints[id]; e != nil && e.probing {
-		e.probing, e.passed = false, result == Done
-		if e.aside && result != Done {
+		if e.probing, e.passed = false, result == Done; e.aside && !e.passed {
 			s.setAside(e)
 		}
 	}
@@ -755,7 +756,8 @@
 func (s *Sender) place(n *notice, rideOnly bool) *endpoint {
 	var trial *endpoint
 	for _, e := range n.d.ranked {
-		if !e.listed || s.now < e.route.haltUntil || n.MayRun && n.w.ZoneGroup && e.zone != n.RanIn {
+		if !e.listed || s.now < e.route.haltUntil || n.MayRun && n.w.ZoneGroup && e.zone != n.RanIn ||
+			n.w.Repeat == SingleUse && e.doubt > 0 && s.now-e.badAt < 2*lastTrial && s.now < s.lastSend(n)-quietFor {
 			continue
 		}
 		if e.open != nil && e.open.turn == s.turns && !e.aside && e.open.n < n.d.kind.BundleMax {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -489,3 +489,23 @@
 	// 0.0     give up q
 	// aside: false
 }
+
+// Where a call stays without an answer while others have theirs, single-use notices wait until some more are done;
+// those that may be repeated find that out.
+func ExampleSender_doubt() {
+	d := open(plain()).take(0, 1, "lost").run(Millisecond).take(0, 1, "p").ended(Done, 0, "a", "p").run(2 * Second)
+	d.take(2, 1, "single")
+	for _, id := range []NoticeID{"1", "2", "3", "4", "5", "6"} {
+		d.run(10*Millisecond).take(0, 1, id).ended(Done, 0, "a", id)
+	}
+	// Output:
+	// 0.0     dispatch lost to a
+	// 1.0     dispatch p to a
+	// 2011.0  dispatch 1 to a
+	// 2021.0  dispatch 2 to a
+	// 2031.0  dispatch 3 to a
+	// 2041.0  dispatch 4 to a
+	// 2051.0  dispatch 5 to a
+	// 2061.0  dispatch 6 to a
+	// 2061.0  dispatch single to a
+}
