--- a/internal/sender/sockets_test.go
+++ b/internal/sender/sockets_test.go
@@ -320,12 +320,12 @@
 	if text, _ := io.ReadAll(rude); strings.Count(string(text), "-ERR") > window+maxBad {
 		t.Errorf("%d errors for one client", strings.Count(string(text), "-ERR"))
 	}
-	// Those served hold their places; two seconds later others may have them.
+	// Those served that hold on make room for new ones, each of which asks on a connection of its own.
 	time.Sleep(idleFor)
 	var held []net.Conn
 	for i := range 100 {
 		conn := dial(ping)
-		if !served(conn) && i < 30 {
+		if !served(conn) {
 			t.Fatalf("client %d was not served", i)
 		}
 		held = append(held, conn)
--- a/internal/sender/takein.go
+++ b/internal/sender/takein.go
@@ -33,6 +33,7 @@
 	// Who says nothing, or half a command, is owed an end within 3 s; who has been served may stay until places
 	// run short, and is not to be closed within 2 s of its last answer.
 	silentFor  = 2200 * time.Millisecond
+	dumbFor    = 200 * time.Millisecond // usual ones have sent something by then
 	halfFor    = 2200 * time.Millisecond
 	idleFor    = 2 * time.Second
 	sweepEvery = 200 * time.Millisecond
@@ -156,7 +157,8 @@
 }
 
 // makeRoom closes one client for another: the one idle longest, if for long enough, else the one that has been
-// silent longest since it came. It is called with the table locked.
+// silent longest since it came. Where neither has lasted, the one idle longest goes all the same: it has its answers
+// and comes again, while a new one that is turned away has its first command fail. The table is locked.
 func (t *clientTable) makeRoom(now time.Duration) bool {
 	var idle, dumb *client
 	for c := range t.all {
@@ -165,11 +167,15 @@
 		case !c.quiet():
 		case rest == 0 && (dumb == nil || c.came < dumb.came):
 			dumb = c
-		case rest != 0 && now-rest >= idleFor && (idle == nil || rest < time.Duration(idle.rest.Load())):
+		case rest != 0 && (idle == nil || rest < time.Duration(idle.rest.Load())):
 			idle = c
 		}
 	}
-	for _, c := range []*client{idle, dumb} {
+	order := []*client{idle, dumb}
+	if dumb != nil && now-dumb.came >= dumbFor && idle != nil && now-time.Duration(idle.rest.Load()) < idleFor {
+		order = []*client{dumb, idle}
+	}
+	for _, c := range order {
 		if c != nil && nothingCame(c.conn) {
 			c.cut.Store(true)
 			delete(t.all, c)
