--- a/cmd/flaxcove/main.go
+++ b/cmd/flaxcove/main.go
@@ -35,7 +35,8 @@
 		Usage: "take notices from clients and deliver them to partners' endpoints",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "run one sender, as EDGE_CONFIG and the other EDGE_ variables say", Action: serve, Flags: []cli.Flag{
-				&cli.StringFlag{Name: "profile", Usage: "write a CPU profile of the whole run to this file"}}},
+				&cli.StringFlag{Name: "profile", Usage: "write a CPU profile of the whole run to this file"},
+				&cli.BoolFlag{Name: "trace", Usage: "log each step of each notice too, by its id, and the settings once"}}},
 			{Name: "add", Usage: "hand one notice to a running sender", ArgsUsage: "BODY", Action: add, Flags: []cli.Flag{addr,
 				&cli.StringFlag{Name: "class", Usage: "its workload, as the settings name it", Required: true},
 				&cli.Int64Flag{Name: "dest", Usage: "the number of its destination", Required: true},
@@ -74,7 +75,7 @@
 	}
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(heapShare * float64(cfg.Limits.MemoryMB<<20)))
-	log, err := logger()
+	log, err := logger(c.Bool("trace"))
 	if err != nil {
 		return err
 	}
@@ -107,14 +108,18 @@
 			s.Reload(config.Reload(os.Getenv))
 		}
 	}()
+	log.Debug("configuration", zap.Any("settings", cfg.Settings), zap.Any("limits", cfg.Limits), zap.Any("known", cfg.Known))
 	log.Info("serving", zap.String("name", cfg.Name), zap.String("listen", s.Addr()), zap.String("version", version))
 	s.Run()
 	return nil
 }
 
 // logger writes a line of JSON for each entry to standard error, and drops none.
-func logger() (*zap.Logger, error) {
+func logger(trace bool) (*zap.Logger, error) {
 	c := zap.NewProductionConfig()
+	if trace {
+		c.Level.SetLevel(zap.DebugLevel)
+	}
 	c.Sampling = nil
 	c.DisableCaller, c.DisableStacktrace = true, true
 	c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
--- a/internal/sender/book.go
+++ b/internal/sender/book.go
@@ -123,6 +123,9 @@
 	if n == nil || n.ending.what != endNone {
 		return
 	}
+	s.log.Debug("ends undelivered", zap.String("id", string(n.ID)), zap.Bool("handed_back", how.what == endHandedBack),
+		zap.Int64("retry_ms", how.retryMS), zap.Int("tries", n.tries), zap.Bool("may_have_run", n.MayRun),
+		zap.Bool("client_waits", n.reply != nil))
 	if how.what == endHandedBack {
 		s.counts.handedBack++
 	} else {
--- a/internal/sender/relay.go
+++ b/internal/sender/relay.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strconv"
 
+	"go.uber.org/zap"
+
 	"flaxcove/choice"
 	"flaxcove/internal/http1"
 )
@@ -159,6 +161,9 @@
 			o.Wait = 0 // a wait goes with a refusal, but with any answer to a bundle
 		}
 		n.out = nil
+		s.log.Debug("outcome", zap.String("id", string(n.ID)), zap.String("to", string(c.e.id)),
+			zap.String("result", resultNames[o.Result]), zap.Float64("took_ms", float64(took)/float64(choice.Millisecond)),
+			zap.Float64("wait_ms", float64(o.Wait)/float64(choice.Millisecond)), zap.Float64s("report", a.report))
 		s.record(n, c, o)
 		s.module.Ended(o)
 		if o.Final {
--- a/internal/sender/route.go
+++ b/internal/sender/route.go
@@ -87,6 +87,7 @@
 			delete(s.cells, id)
 		}
 	}
+	s.log.Debug("list", zap.Bool("full", l.Full), zap.Bool("stale", stale), zap.Any("entries", l.Servers))
 	s.listTold = s.listTold || !stale
 	s.module.ListNews(entries, l.Full, stale)
 }
@@ -117,6 +118,8 @@
 	n.out = c
 	n.tries++
 	s.counts.dispatches++
+	s.log.Debug("dispatch", zap.String("id", string(id)), zap.String("to", string(to)), zap.Int("try", n.tries),
+		zap.Float64("within_ms", float64(timeOut)/float64(choice.Millisecond)))
 }
 
 // Shed ends a notice that has never run: by refusing it where the client still waits, else by the platform.
