A refusal that ends a new link is a full table's: no pace is cut, idle links go

Of 65,749 dispatches 39,837 were refused; 35,204 of these at one kind of endpoint, all on links just opened, without report or wait, and ended by the endpoint:

That endpoint, rated 390 calls a second, did 718 of 16,347 notices. Ruled out: its limit (702 of its answers report 0.69 to 0.97 of 361 to 525 calls a second left), its queue (calls done take 70 to 90 ms on kept links), coldness (before the release began). All other refusals (4,633) carry a report and leave the link open. So its table of connections was full, of links that 297 senders each leave idle for 10 s: harmless in one, and nobody finds a place. At fault: refused in choice.go, which cut the pace of the route for each, so that a sender hardly tried again; hangUp, which learns of full tables only by connections that fail; and relay.go, which did not tell that the answer ended its link.

Change: Outcome.Closed; a refusal that closes a new link raises the share by which idle links of its kind are given up, at once at all of them, and has the endpoint met by one call at a time. It tells nothing of limits.

Tests: ExampleSender_fullTable, Example_fullTable, both seen to fail without.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,18 +7,20 @@
 import (
 	"cmp"
 	"container/list"
+	"maps"
 	"math"
 	"slices"
 )
 
 const (
+	baseShare, capShare     = 0.25, 2.0                     // retry ceilings, in shortest contract times
+	meanGain, pastGain      = 0.125, 0.02                   // weights of a new time in the mean, in the past
+	firstTrial, lastTrial   = 300 * Millisecond, 2 * Second // pauses before trials: first, longest
+	loadSpan, fleetLoadSpan = 2 * Second, 5 * Second        // of means of sends, of dones in senders times
+
 	tick          = 50 * Millisecond // renews ranks, finds silence, lets waits end
-	baseShare     = 0.25             // first retry ceiling, as a share of the shortest contract time
-	capShare      = 2.0              // highest retry ceiling, likewise
 	priorShare    = 0.5              // a call's usual time before any was measured, likewise
 	laneShare     = 4                // one slot in so many drains a destination's refused notices
-	meanGain      = 0.125            // weight of a new measurement in mean and spread
-	pastGain      = 0.02             // weight of a new measurement in an endpoint's own past
 	patience      = 10.0             // spreads above the mean before a repeatable call is given up
 	finalPatience = 4.0              // times longer where a time-out is final and all slots are free
 	overdueAfter  = 4.0              // times its past before a call out counts as unanswered
@@ -30,8 +32,6 @@
 	crowdedFor    = Second / 2         // since something was done, a refusal without a limit is a full queue's
 	usedUp        = 0.3                // share of an allowance left up to which it explains a refusal
 	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
-	firstTrial    = 300 * Millisecond  // first pause before an endpoint set aside is tried
-	lastTrial     = 2 * Second
 	keptMost      = 0.05               // share reset on kept links from which single-use notices get new ones
 	doubtRun      = 6                  // calls done after an unanswered one before single-use notices go there
 	blinkFor      = 1500 * Millisecond // between answers: too short for an outage with a cold start
@@ -44,20 +44,18 @@
 	rideWeight = 0.15 // what a further notice in a call weighs on a cold destination
 	paceCut    = 0.5  // of the pace or rate that met refusals, at least; half of it beyond a handful
 
-	toleratedShare = 0.02       // of calls refused, the price of using all room
-	noiseTold      = 3.0        // deviations between what a limit and what noise would leave, to tell them
-	nearLoad       = 0.95       // of what was counted before that still counts, and of a load: the same
-	topFor         = 10.0       // seconds over which the highest load fades: a lull is no measure for a cut
-	mostNoise      = 0.25       // share of calls that may be refused whatever the load
-	callsToJudge   = 16         // under so many answered, a refusal means a limit
-	loadSpan       = 2 * Second // over which sends, and in senders times it dones, are averaged
-	fleetLoadSpan  = 5 * Second // over which sends of a large fleet are: each makes few
-	leastPace      = 0.6        // calls a second of all senders together
-	unpaced        = 1e6        // calls a second while no limit was met
-	paceGrow       = 0.05       // a second
-	closeMore      = 30.0       // own calls due while a link would idle, a share of failures, to keep it
-	crowdFrom      = 0.85       // share of MaxOpen from which notices are turned away by chance
-	heldMost       = 4.0        // times the room left that one destination may hold
+	toleratedShare = 0.02 // of calls refused, the price of using all room
+	noiseTold      = 3.0  // deviations between what a limit and what noise would leave, to tell them
+	nearLoad       = 0.95 // of what was counted before that still counts, and of a load: the same
+	topFor         = 10.0 // seconds over which the highest load fades: a lull is no measure for a cut
+	mostNoise      = 0.25 // share of calls that may be refused whatever the load
+	callsToJudge   = 16   // under so many answered, a refusal means a limit
+	leastPace      = 0.6  // calls a second of all senders together
+	unpaced        = 1e6  // calls a second while no limit was met
+	paceGrow       = 0.05 // a second
+	closeMore      = 30.0 // own calls due while a link would idle, a share of failures, to keep it
+	crowdFrom      = 0.85 // share of MaxOpen from which notices are turned away by chance
+	heldMost       = 4.0  // times the room left that one destination may hold
 )
 
 const tickTimer TimerID = 0 // the others stand for notices
@@ -190,9 +188,7 @@
 	for _, q := range set.Quotas {
 		s.shares = append(s.shares, bucket{q / s.senders, max(1, q/s.senders), s.now})
 	}
-	if set.AskForList {
-		s.askEvery = max(Second, set.AskWithin/4)
-	}
+	s.askEvery = Time(one(set.AskForList)) * max(Second, set.AskWithin/4)
 	h.Timer(tick, tickTimer)
 	return s
 }
@@ -256,12 +252,8 @@
 	w := &s.workloads[in.Workload]
 	n := &notice{Notice: in, w: w, d: s.destination(in.Destination), gain: w.Gain}
 	n.born = in.HardStop - w.HardStop
-	if a := int(in.Account); a >= 0 && a < len(s.shares) {
-		if b := &s.shares[a]; b.fill(s.now, max(1, b.rate)) >= 1 {
-			b.level--
-		} else {
-			n.gain *= s.overGain
-		}
+	if a := int(in.Account); a >= 0 && a < len(s.shares) && !s.shares[a].take(s.now) {
+		n.gain *= s.overGain
 	}
 	s.held[n.ID] = n
 	n.d.held++
@@ -285,9 +277,8 @@
 	s.queue(n)
 }
 
-// turnsAway keeps room below MaxOpen: by chance, or where the new one's destination holds much of what is left,
-// one notice goes, the cheaper more often, of least worth and waiting longest in the longest backlog, or the
-// new one. A destination that takes nothing cannot fill it. It tells whether the new one goes.
+// turnsAway keeps room below MaxOpen: by chance, or where the new one's destination holds much of what is
+// left, one goes, the cheaper more often: of least worth, first in the longest backlog, or the new one (true).
 func (s *Sender) turnsAway(n *notice) bool {
 	p := (float64(len(s.held))/float64(s.maxOpen) - crowdFrom) / (1 - crowdFrom)
 	much := float64(n.d.held) > heldMost*float64(s.maxOpen-len(s.held))
@@ -481,17 +472,32 @@
 
 func (s *Sender) hangUp(c *call) {
 	c.e.calls, c.e.linkUntil = c.e.calls-1, s.now+s.connIdle
-	// Idle links of a fleet fill a destination's table: the more connections of its kind fail, the oftener
-	// one must be used to stay. Those to other zones are dear to open and stay.
-	if use := c.e.used.read(s.now, loadSpan*Time(s.senders)) * seconds(s.connIdle); c.e.calls == 0 &&
-		c.e.d.waiting == 0 && c.e.zone == s.zone && use < closeMore*c.e.d.kind.short {
-		s.h.CloseIdle(c.e.id)
-		c.e.linkUntil = s.now
-	}
+	s.spare(c.e)
 	c.e.d.laneOut -= int(one(c.lane))
 	s.calls = slices.DeleteFunc(s.calls, func(other *call) bool { return other == c })
 }
 
+// spare closes idle links. Those of a fleet fill a destination's table: the more connections of its kind fail,
+// the oftener one must be used to stay. Those to other zones are dear to open and stay.
+func (s *Sender) spare(e *endpoint) {
+	use := e.used.read(s.now, loadSpan*Time(s.senders)) * seconds(s.connIdle)
+	if e.calls == 0 && e.d.waiting == 0 && e.zone == s.zone && use < closeMore*e.d.kind.short {
+		s.h.CloseIdle(e.id)
+		e.linkUntil = s.now
+	}
+}
+
+// crowded answers that an endpoint has no place for one more connection, which tells nothing of its limits:
+// links that idle at its kind may go, and one call at a time tries there. Harm: some shut ones look alike.
+func (s *Sender) crowded(e *endpoint) {
+	e.limit, e.d.kind.short = 1, e.d.kind.short+meanGain*(1-e.d.kind.short)
+	for _, id := range slices.Sorted(maps.Keys(s.endpoints)) {
+		if other := s.endpoints[id]; other.d.kind == e.d.kind {
+			s.spare(other)
+		}
+	}
+}
+
 func (s *Sender) learn(c *call, o Outcome) {
 	e, r := c.e, c.e.route
 	s.stir(e.d)
@@ -524,7 +530,11 @@
 		}
 		e.goodAt, r.lastGood = s.now, s.now
 	case Full:
-		s.refused(c, o)
+		if o.Closed && !o.Kept { // no place for one more connection, which says nothing of limits
+			s.crowded(e)
+		} else {
+			s.refused(c, o)
+		}
 	case Errored, Reset, Spoilt:
 		// A kept link that breaks or a spoilt answer shows no outage: a crash refuses new connections too.
 		if o.Result == Errored || o.Result == Reset && !o.Kept || s.now-e.goodAt > quietFor {
@@ -546,8 +556,8 @@
 	return (e.mean*float64(1+e.calls) + e.bad*float64(s.base)) / (1 - e.bad)
 }
 
-// refused tells a limit, which a report shows used up, from a shut destination. Where none are reported and
-// no wait is told, a run with nothing done has one guessed, doubling. Harm: a very low limit not reported.
+// refused tells a limit, which a report shows used up, from a shut destination. With neither report nor wait
+// told, a run with nothing done has one guessed, doubling. Harm: a very low limit not reported.
 func (s *Sender) refused(c *call, o Outcome) {
 	e, r, halted := c.e, c.e.route, c.e.route.haltUntil
 	r.run++
@@ -642,9 +652,8 @@
 
 func (s *Sender) failed(e *endpoint, limit float64) {
 	e.fails, e.route.fails = e.fails+1, e.route.fails+1
-	// One failure is enough where nothing was answered lately: a large fleet seldom sees two. Two of a
-	// route are all of it, as most outages are, or each sender would push at every endpoint in turn.
-	// Of many calls some fail in a row by chance: the more a second, and the more of them fail, the longer.
+	// One failure is enough where nothing was answered lately: a large fleet seldom sees two. Two of a route
+	// are all of it, or each sender would push at every endpoint in turn. Of many calls some fail by chance.
 	run := math.Log(byChance*e.used.read(s.now, loadSpan*Time(s.senders))) / -math.Log(max(toleratedShare, e.wrong))
 	if e.aside || e.fails >= max(failsToAside, int(math.Ceil(run))) || limit == 0 && s.now-e.goodAt > quietFor {
 		all := s.senders > smallFleet && e.route.fails >= failsToAside && s.now-e.route.lastGood > quietFor
@@ -672,8 +681,7 @@
 func (s *Sender) comeBack(e *endpoint, sentAt Time) {
 	if e.aside && s.now-e.goodAt < blinkFor {
 		e.coldFrom = e.coldWas
-	} else if e.aside && sentAt >= e.asideAt {
-		// It returned at some time since the last failure; an answer to a call from before shows no outage.
+	} else if e.aside && sentAt >= e.asideAt { // a call from before shows no return
 		s.chill(e, (e.failAt+s.now)/2)
 	}
 	e.fails, e.aside = 0, false
@@ -819,8 +827,7 @@
 
 // next takes the fresh tier before any retry; in a tier each queue's newest, by gain for the slot time taken.
 func (s *Sender) next() (best *notice, to *endpoint) {
-	for tier := range 2 {
-		top := 0.0
+	for tier, top := 0, 0.0; tier < 2 && best == nil; tier++ {
 		for _, d := range s.waiting {
 			for i, l := range d.queues {
 				if l.Len() == 0 || (i < len(s.workloads)) != (tier == 0) {
@@ -834,15 +841,12 @@
 				}
 			}
 		}
-		if best != nil {
-			return best, to
-		}
 	}
-	return nil, nil
+	return best, to
 }
 
-// Open tells whether a dispatch may still leave once its connection is up: a wait or a drain may have come,
-// or the time be over in which the destination knows a tokened notice that may have run.
+// Open tells whether a dispatch may still leave once its connection is up: a wait or a drain may have come, or
+// the time be over in which a tokened notice that may have run is known.
 func (s *Sender) Open(id EndpointID, notices ...NoticeID) bool {
 	e, now := s.endpoints[id], s.h.Now()
 	late := func(id NoticeID) bool {
@@ -852,8 +856,7 @@
 	return e != nil && e.listed && now >= e.route.haltUntil && !slices.ContainsFunc(notices, late)
 }
 
-// place is the endpoint that a notice may go to now. One that answered nothing lately holds no more than an
-// unknown one: what it once took says little of now.
+// place is where a notice may go now. What answered nothing lately holds no more than what is unknown.
 func (s *Sender) place(n *notice, rideOnly bool) *endpoint {
 	var trial, same *endpoint
 	for _, e := range n.d.ranked {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -594,3 +594,40 @@
 	// a limit of 100 and noise of 6%: 94 a second sent of 200, 6% of them refused
 	// a limit of 2: 1 a second sent of 10, 17% of them refused
 }
+
+// A new link that is refused and ended found no place: what idles at others of the kind is closed, and the pace
+// knows nothing of it, however often. Refusals on links that stay are a limit's.
+func ExampleSender_fullTable() {
+	for _, closed := range []bool{true, false} {
+		set := plain()
+		set.Senders, set.ConnIdle = 300, 10*Second
+		d := open(set)
+		d.s.ListNews([]Entry{{Endpoint: "d", Destination: 3}}, false, false)
+		d.take(0, 1, "first").take(0, 3, "other").ended(Done, 0, "a", "first").ended(Done, 0, "d", "other")
+		d.run(2 * Second).links = true
+		for _, id := range []NoticeID{"p", "q", "r"} {
+			d.take(0, 1, id).s.Ended(Outcome{Notice: id, Endpoint: "a", Result: Full, Closed: closed})
+			d.s.Withdrawn(id)
+			d.run(2 * Second)
+		}
+		fmt.Println("pace cut:", d.s.byID[1].route.pace.rate < 100)
+	}
+	// Output:
+	// 0.0     dispatch first to a
+	// 0.0     dispatch other to d
+	// 2000.0  dispatch p to a
+	// 2000.0  close d
+	// 2000.0  close a
+	// 4000.0  dispatch q to a
+	// 4000.0  close d
+	// 4000.0  close a
+	// 6000.0  dispatch r to a
+	// 6000.0  close d
+	// 6000.0  close a
+	// pace cut: false
+	// 0.0     dispatch first to a
+	// 0.0     dispatch other to d
+	// 2000.0  dispatch p to a
+	// 4000.0  dispatch q to a
+	// pace cut: true
+}
--- a/choice/host.go
+++ b/choice/host.go
@@ -164,6 +164,7 @@
 	NoSlot   bool // told with Moot
 	Report   Report
 	Kept     bool // its connection had carried a call before, where the host can tell
+	Closed   bool // its answer ended the connection, likewise
 }
 
 // Host is all that the module can do to the world. Calls take effect in the order made.
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -64,6 +64,13 @@
 	return b.level
 }
 
+// take draws one where there is one; a second's fill is kept.
+func (b *bucket) take(now Time) bool {
+	is := b.fill(now, max(1, b.rate)) >= 1
+	b.level -= one(is)
+	return is
+}
+
 // meter counts events a second, older ones fading over a span given at each use.
 type meter struct {
 	rate float64
--- a/internal/sender/relay.go
+++ b/internal/sender/relay.go
@@ -150,7 +150,7 @@
 	took := s.Now() - c.began
 	for _, n := range c.notices {
 		o := choice.Outcome{Notice: n.ID, Dispatch: n.tries - 1, Endpoint: c.e.id, Took: took,
-			Result: a.result, Final: a.final, Wait: a.wait, NoSlot: a.noSlot, Report: a.told(), Kept: c.kept}
+			Result: a.result, Final: a.final, Wait: a.wait, NoSlot: a.noSlot, Report: a.told(), Kept: c.kept, Closed: a.close}
 		if len(c.notices) > 1 && a.result == choice.Done {
 			o.Result, o.Final = choice.Spoilt, false // unless the answer names it
 			if status, known := states[a.states[n.ID]]; known {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -355,6 +355,42 @@
 	// ";;\xff" {Known:false Left:0 Limit:0}
 }
 
+// A new link that an endpoint refuses and ends found no place there: the notices go on trying, where refusals of a
+// limit on links that stay have the route pause.
+func Example_fullTable() {
+	for _, head := range []string{"Connection: close\n", ""} {
+		r := start("", 100)
+		for _, id := range []string{"s1", "s2"} {
+			r.hand("OUT.ADD 0 " + id + " c=status,d=6000,dest=1 x").turn(10 * time.Millisecond)
+			r.answer("HTTP/1.1 503 Full\n" + head + "Content-Length: 0\n\n")
+		}
+		r.turn(140 * time.Millisecond)
+	}
+	// Output:
+	// call a: POST /inbox
+	//    s1
+	// client: +OK
+	// call a: POST /inbox
+	//    s1
+	// call a: POST /inbox
+	//    s2
+	// client: +OK
+	// call a: POST /inbox
+	//    s2
+	// call a: POST /inbox
+	//    s2
+	// call a: POST /inbox
+	//    s1
+	// client: +OK
+	// call a: POST /inbox
+	//    s1
+	// call a: POST /inbox
+	//    s2
+	// client: +OK
+	// call a: POST /inbox
+	//    s2
+}
+
 // A bundle whose answer cannot be made out may have run, and its link is of no further use.
 func Example_spoiltBundle() {
 	for _, body := range []string{`[{"id":"o1","state":"ok"},{"id":"o2","sta`, "nothing", `[{"id":"o1","state":"ok"}]`} {
