--- /dev/null
+++ b/internal/sender/longday_test.go
@@ -0,0 +1,85 @@
+package sender
+
+import (
+	"cmp"
+	"fmt"
+	"os"
+	"runtime"
+	"testing"
+	"time"
+
+	"flaxcove/choice"
+)
+
+// Over a long day nothing grows: all tables, the journal's file and the heap stay where an hour left them, whatever
+// became of the notices, and after a kill late in the day only what is owed comes back.
+func TestLongDay(t *testing.T) {
+	quiet := os.Stdout // the rig prints for examples
+	null, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	os.Stdout = null
+	defer func() { os.Stdout = quiet; null.Close() }()
+
+	r := start(t.TempDir(), 100)
+	bad := map[int]string{7: full, 13: lost, 21: "HTTP/1.1 503 Full\nConnection: close\nContent-Length: 0\n\n", 33: "HTTP/1.1 2"}
+	answer := func(text string) {
+		c := r.calls[len(r.calls)-1]
+		if c.over { // its time ran out
+			r.calls = r.calls[:len(r.calls)-1]
+		} else {
+			r.answer(text)
+		}
+		r.s.open-- // the rig has no links that could end
+		c.e.links--
+	}
+	hour := func(no int) (heap uint64) {
+		for i := range 4000 {
+			class := []string{"status", "order"}[i%2]
+			r.hand(fmt.Sprintf("OUT.ADD %x n%d-%d c=%s,d=6000,dest=%d body", i, no, i, class, 1+i%2))
+			r.turn(40 * time.Millisecond)
+			for len(r.calls) > 0 {
+				answer(cmp.Or(bad[(i+len(r.calls))%40], ok))
+			}
+		}
+		r.turn(20 * time.Second)
+		for len(r.calls) > 0 {
+			answer(ok)
+		}
+		r.turn(20 * time.Second)
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	hour(0)
+	hour(1)
+	first := hour(2)
+	var last uint64
+	for no := range 6 {
+		last = hour(3 + no)
+		if size, limit := r.s.journal.Size(), r.s.journal.Limit(); size > limit {
+			t.Errorf("hour %d: the journal holds %d of %d bytes", no, size, limit)
+		}
+		if len(r.s.owed) > 0 || len(r.s.endings) > 0 || len(r.s.wakes) > 4 || len(r.s.timers) > 16 ||
+			len(r.s.admission.ended) > mostEnded || len(r.s.order) > 2*len(r.s.owed)+mostOver+1 {
+			t.Errorf("hour %d: owed %d, endings %d, the module's timers %d, timers %d, ended %d, in order %d", no, len(r.s.owed),
+				len(r.s.endings), len(r.s.wakes), len(r.s.timers), len(r.s.admission.ended), len(r.s.order))
+		}
+	}
+	if last > first+first/4 {
+		t.Errorf("heap: %d bytes after three hours, %d after nine", first, last)
+	}
+	t.Logf("heap %d, then %d; rewritings %d, delivered %d, handed back %d, given up %d", first, last, r.s.counts.rewritings,
+		r.s.counts.delivered, r.s.counts.handedBack, r.s.counts.givenUp)
+	if r.s.counts.rewritings < 3 {
+		t.Errorf("only %d rewritings: the day was too short for the journal", r.s.counts.rewritings)
+	}
+
+	r.hand("OUT.ADD 0 kept c=status,d=6000,dest=1 body").turn(5 * time.Millisecond)
+	again := start(r.dir, 100)
+	if len(again.s.owed) != 1 || again.s.owed[choice.NoticeID("kept")] == nil {
+		t.Errorf("owed after a kill: %d", len(again.s.owed))
+	}
+}
