A place at a full table is not held idle for what may not go yet

The calls are quick, so the endpoint is not slow for being cold; one or two of its places carry calls, and yet 53 to 85 tries a second by as many senders find none. Ruled out: our budget as such (the tries pass it), the list, slots (5, and 4,410 notices were refused at the door with nothing out). At fault: spare (hangUp before) kept a link while anything waits at the destination, though the cold budget lets the sender make one call in seconds: who had a place could not call, and who could call had none.

Change: what waits keeps a link only where it may go now by wait, pace and cold budget.

Test: ExampleSender_placeOfWhatWaits, seen to fail without.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -477,11 +477,12 @@
 	s.calls = slices.DeleteFunc(s.calls, func(other *call) bool { return other == c })
 }
 
-// spare closes idle links. Those of a fleet fill a destination's table: the more connections of its kind fail,
-// the oftener one must be used to stay. Those to other zones are dear to open and stay.
+// spare closes idle links, also where what waits may not go yet. Those of a fleet fill a destination's table: the
+// more connections of its kind fail, the oftener one must be used to stay. Those to other zones stay, being dear.
 func (s *Sender) spare(e *endpoint) {
 	use := e.used.read(s.now, loadSpan*Time(s.senders)) * seconds(s.connIdle)
-	if e.calls == 0 && e.d.waiting == 0 && e.zone == s.zone && use < closeMore*e.d.kind.short {
+	idle := e.calls == 0 && (e.d.waiting == 0 || !e.route.ready(s.now) || !s.coldReady(e))
+	if idle && e.zone == s.zone && use < closeMore*e.d.kind.short {
 		s.h.CloseIdle(e.id)
 		e.linkUntil = s.now
 	}
@@ -516,9 +517,7 @@
 	switch o.Result {
 	case Done:
 		e.measure(float64(o.Took), meanGain, pastGain)
-		if c.fresh {
-			e.d.kind.short *= 1 - meanGain
-		}
+		e.d.kind.short *= 1 - meanGain*one(c.fresh)
 		r.done, e.d.again.level = r.done+1, e.d.again.level+1
 		r.good.count(s.now, loadSpan*Time(s.senders))
 		r.peak, e.fails, r.fails, r.run, r.guess = max(r.peak, r.good.rate), 0, 0, 0, 0
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -631,3 +631,25 @@
 	// 4000.0  dispatch q to a
 	// pace cut: true
 }
+
+// At a kind whose tables run full a link is not kept for what may not go yet: the endpoint is cold, its budget
+// used up, and others who may call find no place. Where all is well what waits keeps the link.
+func ExampleSender_placeOfWhatWaits() {
+	for _, cold := range []bool{true, false} {
+		set := plain()
+		set.Senders, set.ConnIdle, set.Slots = 300, 10*Second, 1
+		d := open(set)
+		d.s.byID[1].kind.short = 0.5
+		d.links = true
+		if cold {
+			d.s.chill(d.s.endpoints["a"], d.clock)
+		}
+		d.s.endpoints["a"].cold.level = 1
+		d.take(0, 1, "p").take(0, 1, "q", "r").run(100*Millisecond).ended(Done, 0, "a", "p")
+	}
+	// Output:
+	// 0.0     dispatch p to a
+	// 100.0   close a
+	// 0.0     dispatch p to a
+	// 100.0   dispatch r to a
+}
