An outage is not taken for full tables: links to healthy endpoints of its kind stay

Seen: zone+vast (80 senders, 14 endpoints; destinations 6 and 7 away from 7.0 to 12.5 s). At s-, which is well and of the same kind, calls take 51 ms until 7 s and 121 to 141 ms from 9 to 18 s, and nearly each of them ends its link (`not_needed`, 2,631 times at that kind in all; none before 7 s). The returned ones get a handshake for each call too.

Cause: `learn` counted each connection that failed as one that found the table full (`kind.short`), and `spare` then gave up all idle links to that kind. On the simulator's wire the two look alike; on sockets the protocol has a full table answered (503, and the link ended), so that a failed connection shows an outage and nothing else. `Settings.TellsFull` says which world it is.

Test: ExampleSender_outageOfAKind (fails without).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -147,7 +147,7 @@
 	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare, kept   float64 // kept: see learn
 	now, born, base, cap, turn, cold, fall, loadSpan, keyRest, connIdle, askAt Time
 	longest, askEvery                                                          Time // 0 for none
-	probes, watching, halving                                                  bool
+	probes, watching, halving, tellsFull                                       bool
 	lastTimer                                                                  TimerID
 
 	held      map[NoticeID]*notice           // emptied as notices end
@@ -167,6 +167,7 @@
 		laneMax: max(1, set.Slots/laneShare), maxOpen: set.MaxOpen, maxTries: set.MaxDispatches,
 		senders: float64(set.Senders), zone: set.Zone, longest: set.LongestReturn, overGain: set.OverShareGain,
 		probes: set.Probing && set.Senders <= smallFleet, connIdle: set.ConnIdle, turn: max(1, set.Turn),
+		tellsFull: set.TellsFull,
 
 		fallRate: set.FallMultiple * coldPart, coldShare: set.ColdFrom, cold: set.Cold, keyRest: set.KeyRest,
 		fall: max(1, set.Fall), loadSpan: [...]Time{loadSpan, fleetLoadSpan}[int(one(set.Senders > smallFleet))],
@@ -539,10 +540,8 @@
 		if o.Result == Errored || o.Result == Reset && !o.Kept || s.now-e.goodAt > quietFor {
 			s.failed(e, 0)
 		}
-	case ConnectFailed:
-		e.d.kind.short += meanGain * (1 - e.d.kind.short)
-		fallthrough
-	case TimedOut:
+	case TimedOut, ConnectFailed:
+		e.d.kind.short += meanGain * (1 - e.d.kind.short) * one(o.Result == ConnectFailed && !s.tellsFull)
 		s.lost(c)
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -653,3 +653,26 @@
 	// 0.0     dispatch p to a
 	// 100.0   dispatch r to a
 }
+
+// Where full tables are answered, connections that fail show an outage and nothing else: the healthy endpoint's
+// link stays. On a wire where a full table fails connections too, links of that kind go.
+func ExampleSender_outageOfAKind() {
+	for _, told := range []bool{true, false} {
+		set := plain()
+		set.Senders, set.ConnIdle, set.TellsFull = 80, 10*Second, told
+		d := open(set)
+		d.s.ListNews([]Entry{{Endpoint: "d", Destination: 3}}, false, false)
+		d.links, d.mute = true, true
+		for i := range 4 {
+			id := NoticeID(fmt.Sprint("down", i))
+			d.run(2*Second).take(0, 1, id).ended(ConnectFailed, 0, "a", id)
+			d.s.Withdrawn(id)
+		}
+		d.mute = false
+		d.take(0, 3, "well").ended(Done, 0, "d", "well")
+	}
+	// Output:
+	// 8000.0  dispatch well to d
+	// 8000.0  dispatch well to d
+	// 8000.0  close d
+}
--- a/choice/host.go
+++ b/choice/host.go
@@ -84,6 +84,7 @@
 	LongestReturn  Time // the longest time to come back that a shed reply may name; 0 for none
 	DialTimeout    Time
 	ConnIdle       Time // the host closes idle connections after this long
+	TellsFull      bool // who has no place for one more connection answers so (Outcome.Closed) in place of failing it
 	Turn           Time // turns come at most this often
 	AskForList     bool
 	AskWithin      Time
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -147,7 +147,7 @@
 	if f.Settings == nil {
 		return nil, errors.New("field settings: missing")
 	}
-	if c.Settings, err = f.Settings.Settings(); err != nil {
+	if c.Settings, err = f.Settings.Settings(true); err != nil {
 		return nil, fmt.Errorf("field settings: %w", err)
 	}
 	if c.Settings.Slots == 0 {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -91,7 +91,9 @@
 	"rough": choice.RatingRough, "nominal": choice.RatingExact, "live": choice.RatingRough,
 }
 
-func (b *Boot) Settings() (choice.Settings, error) {
+// Settings are what the module is started with. tellsFull says how a full table of connections shows: on sockets it is
+// answered, on the simulator's wire the connection fails.
+func (b *Boot) Settings(tellsFull bool) (choice.Settings, error) {
 	s := choice.Settings{
 		Senders:        max(1, b.Balancers),
 		Number:         choice.PeerNo(b.SlotNo),
@@ -106,6 +108,7 @@
 		Cancelling:     b.Bounds.Cancel,
 		DialTimeout:    Up(b.Bounds.DialTimeout),
 		ConnIdle:       Down(b.Bounds.ConnIdle),
+		TellsFull:      tellsFull,
 		Turn:           Up(b.Quantum),
 		AskForList:     b.Discovery == "on_request",
 		AskWithin:      Down(b.Rules.AskWithin),
--- a/internal/drill/events.go
+++ b/internal/drill/events.go
@@ -62,7 +62,7 @@
 	if err := json.Unmarshal([]byte(text), &b); err != nil {
 		return fmt.Errorf("field bootInfo: %s", err)
 	}
-	set, err := b.Settings()
+	set, err := b.Settings(false)
 	if err != nil {
 		return fmt.Errorf("field bootInfo: %w", err)
 	}
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -49,7 +49,7 @@
 			fmt.Println(err)
 		}
 	}
-	c.Settings, _ = b.Settings()
+	c.Settings, _ = b.Settings(true)
 	return c
 }
 
--- a/lab/sim/settings.go
+++ b/lab/sim/settings.go
@@ -90,5 +90,5 @@
 		return choice.Settings{}, err
 	}
 	b.Zone, b.SlotNo = w.Zone(s), int(s)
-	return b.Settings()
+	return b.Settings(true)
 }
