A bundle outlives the notice whose time is over; a call cut short is no failure

Ruled out: swallowed calls and an endpoint at its end (every answer came within 578 ms at all four returned endpoints; no time-out lasted its own time), the module's time-outs (`within_ms` of the dispatch).

Cause: internal/sender/send.go, `begin`: a call was bounded by the least time that one of its notices had left, so that one held through the outage ended the call under up to nine others: what was single-use was given up, the rest went out again to cold endpoints, and `learn` took it for an unanswered call, which halves what the endpoint may hold and keeps single-use notices away.

Change: a call lasts as long as the longest of its notices may wait. One whose time is over before ends alone (`part`): not sent any more if the connection is not up (moot), else it may have run (cancelled). In `choice` neither judges the endpoint, nor does a call that a hard stop cut short of any time-out.

Tests: Example_bundleOutlivesOne and ExampleSender_cutShort fail without the change, each part by itself.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -431,7 +431,7 @@
 	}
 	c := n.out
 	n.out = nil
-	if !c.judged && o.Result != Moot {
+	if !c.judged && o.Result != Moot && o.Result != Cancelled { // these tell nothing of the endpoint
 		c.judged = true
 		s.learn(c, o)
 	} else if o.Wait > 0 {
@@ -542,7 +542,9 @@
 		}
 	case TimedOut, ConnectFailed:
 		e.d.kind.short += meanGain * (1 - e.d.kind.short) * one(o.Result == ConnectFailed && !s.tellsFull)
-		s.lost(c)
+		if float64(s.now-c.sentAt) >= 2*s.prior || s.now < s.held[o.Notice].HardStop-2*s.turn { // else cut short
+			s.lost(c)
+		}
 	}
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -676,3 +676,37 @@
 	// 8000.0  dispatch well to d
 	// 8000.0  close d
 }
+
+// A call that its notice's hard stop cut short tells nothing of the endpoint: a single-use notice still goes there at
+// once. Nor does a notice that the host ended alone, while the others of its call are still waited for.
+func ExampleSender_cutShort() {
+	for _, left := range []Time{100 * Millisecond, 5 * Second} {
+		d := open(plain())
+		d.take(0, 1, "first").ended(Done, 0, "a", "first")
+		d.s.endpoints["a"].mean = float64(20 * Millisecond)
+		d.s.Taken(Notice{ID: "late", Key: NoKey, Destination: 1, HardStop: d.clock + left})
+		d.take(0, 1, "other").ended(Done, 0, "a", "other")
+		d.clock += 1 // answered since
+		d.take(0, 1, "another").ended(Done, 0, "a", "another")
+		d.clock += min(left, 2*Second) - 6*Millisecond
+		d.ended(TimedOut, 0, "a", "late").take(2, 1, "order")
+	}
+	d := open(plain())
+	d.take(0, 2, "p", "q")
+	d.s.Ended(Outcome{Notice: "p", Endpoint: "c", Result: Cancelled})
+	fmt.Println("calls out:", len(d.s.calls), "judged:", d.s.calls[0].judged)
+	// Output:
+	// 0.0     dispatch first to a
+	// 0.0     dispatch other to a
+	// 0.0     dispatch late to a
+	// 0.1     dispatch another to a
+	// 94.1    give up late
+	// 94.1    dispatch order to a
+	// 0.0     dispatch first to a
+	// 0.0     dispatch other to a
+	// 0.0     dispatch late to a
+	// 0.1     dispatch another to a
+	// 0.0     dispatch q to c
+	// 0.0     dispatch p to c
+	// calls out: 1 judged: false
+}
--- a/internal/sender/relay.go
+++ b/internal/sender/relay.go
@@ -142,13 +142,18 @@
 // finish tells the module how a call ended, notice by notice.
 func (s *Sender) finish(c *call, a answer) {
 	s.stirred = true // what the module makes of it is for the next turn, if not for this one
-	s.takeBack(c.expiry)
+	for _, t := range c.timers {
+		s.takeBack(t)
+	}
 	if c.probe {
 		s.module.Probed(c.e.id, a.result)
 		return
 	}
 	took := s.Now() - c.began
 	for _, n := range c.notices {
+		if n.out != c {
+			continue // it has parted
+		}
 		o := choice.Outcome{Notice: n.ID, Dispatch: n.tries - 1, Endpoint: c.e.id, Took: took,
 			Result: a.result, Final: a.final, Wait: a.wait, NoSlot: a.noSlot, Report: a.told(), Kept: c.kept, Closed: a.close}
 		if len(c.notices) > 1 && a.result == choice.Done {
@@ -160,15 +165,19 @@
 		if len(c.notices) == 1 && o.Result != choice.Full {
 			o.Wait = 0 // a wait goes with a refusal, but with any answer to a bundle
 		}
-		n.out = nil
-		s.log.Debug("outcome", zap.String("id", string(n.ID)), zap.String("to", string(c.e.id)),
-			zap.String("result", resultNames[o.Result]), zap.Float64("took_ms", float64(took)/float64(choice.Millisecond)),
-			zap.Float64("wait_ms", float64(o.Wait)/float64(choice.Millisecond)), zap.Float64s("report", a.report))
-		s.record(n, c, o)
-		s.module.Ended(o)
-		if o.Final {
-			s.over(n)
-		}
+		s.told(c, n, o, a.report)
+	}
+}
+
+func (s *Sender) told(c *call, n *notice, o choice.Outcome, report []float64) {
+	n.out = nil
+	s.log.Debug("outcome", zap.String("id", string(n.ID)), zap.String("to", string(c.e.id)),
+		zap.String("result", resultNames[o.Result]), zap.Float64("took_ms", float64(o.Took)/float64(choice.Millisecond)),
+		zap.Float64("wait_ms", float64(o.Wait)/float64(choice.Millisecond)), zap.Float64s("report", report))
+	s.record(n, c, o)
+	s.module.Ended(o)
+	if o.Final {
+		s.over(n)
 	}
 }
 
--- a/internal/sender/send.go
+++ b/internal/sender/send.go
@@ -58,7 +58,7 @@
 	began   choice.Time
 	lasts   choice.Time // the longest time-out of its notices
 	link    *link       // once it is up
-	expiry  *timer      // taken back once it is over
+	timers  []*timer    // its end and that of notices whose time is over before; taken back once it is over
 	over    bool
 }
 
@@ -119,15 +119,10 @@
 }
 
 func (s *Sender) begin(c *call) {
-	for _, n := range c.notices {
-		// All of a call end together: none may be told its time-out while the call can still bring it about.
-		c.lasts = min(c.lasts, n.HardStop-s.Now()-s.cfg.Settings.Turn)
-	}
-	if c.lasts <= 0 {
-		s.connectFailed(c)
+	if !c.probe && !s.timeCall(c) {
 		return
 	}
-	c.expiry = s.after(time.Duration(config.Nanoseconds(c.lasts)), func() { s.expire(c) })
+	c.timers = append(c.timers, s.after(time.Duration(config.Nanoseconds(c.lasts)), func() { s.expire(c) }))
 	if l := s.takeIdle(c.e); l != nil {
 		s.write(c, l)
 		return
@@ -143,6 +138,41 @@
 	s.dial(c)
 }
 
+// timeCall bounds a call by the longest time that one of its notices has left, and lets those with less end alone:
+// a call ended for one of them would leave all others with a time-out, and what is single-use given up. It tells
+// whether anything is left to send.
+func (s *Sender) timeCall(c *call) bool {
+	longest := choice.Time(0)
+	for _, n := range slices.Clone(c.notices) {
+		left := n.HardStop - s.Now() - s.cfg.Settings.Turn
+		if longest = max(longest, left); left <= 0 {
+			s.part(c, n)
+		}
+	}
+	c.lasts = min(c.lasts, longest)
+	for _, n := range c.notices {
+		if left := n.HardStop - s.Now() - s.cfg.Settings.Turn; left < c.lasts {
+			c.timers = append(c.timers, s.after(time.Duration(config.Nanoseconds(left)), func() { s.part(c, n) }))
+		}
+	}
+	return len(c.notices) > 0
+}
+
+// part ends a notice whose time is over before that of its call. It is not sent any more if it has not been; else it
+// may have run, and whatever the answer still says of it comes too late.
+func (s *Sender) part(c *call, n *notice) {
+	if c.over || n.out != c {
+		return
+	}
+	s.stirred = true
+	o := choice.Outcome{Notice: n.ID, Dispatch: n.tries - 1, Endpoint: c.e.id, Took: s.Now() - c.began, Result: choice.Cancelled}
+	if c.link == nil {
+		o.Result = choice.Moot
+		c.notices = slices.DeleteFunc(c.notices, func(other *notice) bool { return other == n })
+	}
+	s.told(c, n, o, nil)
+}
+
 func (s *Sender) connect(c *call) {
 	addr, within := c.e.addr, min(s.cfg.Settings.DialTimeout, c.lasts)
 	if s.cfg.Settings.DialTimeout == 0 {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -319,6 +319,45 @@
 	// owed: 1 to the platform: 0
 }
 
+// A notice of a bundle whose time is over ends alone: one that was not sent yet is handed back and does not leave any
+// more, one that was may have run. The call goes on for the order, and ends nothing a second time.
+func Example_bundleOutlivesOne() {
+	for _, written := range []bool{false, true} {
+		r := start("", 100).hand("OUT.ADD 0 order c=order,d=20000,dest=2 x", "OUT.ADD 0 late c=status,d=500,dest=2 x")
+		c := r.calls[0]
+		text := ok
+		if written {
+			c.link = &link{s: r.s, e: c.e}
+			text = "HTTP/1.1 200 OK\nContent-Length: 61\n\n" + `[{"id":"order","state":"ok"},{"id":"late","state":"ok"}]     `
+		}
+		r.turn(600 * time.Millisecond).answer(text).turn(5 * time.Millisecond).owed()
+		fmt.Println("delivered:", r.s.counts.delivered)
+		os.RemoveAll(r.dir)
+	}
+	// Output:
+	// call b: POST /inbox/bulk
+	//    order
+	//    late
+	// client: +OK
+	// client: +OK
+	// platform: {"message":"late","outcome":"handed_back","retry_in_ms":200}
+	// call b: POST /inbox
+	//    order
+	// owed: 0 to the platform: 0
+	// delivered: 1
+	// call b: POST /inbox/bulk
+	//    order
+	//    late
+	// client: +OK
+	// client: +OK
+	// platform: {"message":"late","outcome":"given_up"}
+	// call b: POST /inbox/bulk
+	//    order
+	//    late
+	// owed: 0 to the platform: 0
+	// delivered: 1
+}
+
 // A wait in the answer to a bundle binds whatever became of its notices.
 func Example_bundleWait() {
 	r := start("", 100).hand("OUT.ADD 0 s1 c=status,d=6000,dest=2 x", "OUT.ADD 0 s2 c=status,d=6000,dest=2 x")
--- a/lab/sim/node.go
+++ b/lab/sim/node.go
@@ -445,11 +445,7 @@
 }
 
 func (n *node) begin(c *call) {
-	for _, o := range c.notices {
-		c.lasts = min(c.lasts, o.HardStop-n.Now()-n.set.Turn)
-	}
-	if c.lasts <= 0 {
-		n.finish(c, choice.ConnectFailed, world.Answer{})
+	if !c.probe && !n.timeCall(c) {
 		return
 	}
 	life := n.life
@@ -478,6 +474,41 @@
 	}
 }
 
+// timeCall and part are the sender's.
+func (n *node) timeCall(c *call) bool {
+	longest, life := choice.Time(0), n.life
+	for _, o := range slices.Clone(c.notices) {
+		left := o.HardStop - n.Now() - n.set.Turn
+		if longest = max(longest, left); left <= 0 {
+			n.part(c, o)
+		}
+	}
+	c.lasts = min(c.lasts, longest)
+	for _, o := range c.notices {
+		if left := o.HardStop - n.Now() - n.set.Turn; left < c.lasts {
+			n.e.w.After(left, func() {
+				if n.life == life && !c.over && o.out == c {
+					n.awake(func() { n.part(c, o) })
+				}
+			})
+		}
+	}
+	return len(c.notices) > 0
+}
+
+func (n *node) part(c *call, o *owed) {
+	if c.over || o.out != c {
+		return
+	}
+	n.stir()
+	out := choice.Outcome{Notice: o.ID, Dispatch: o.tries - 1, Endpoint: c.e.id, Took: n.Now() - c.began, Result: choice.Cancelled}
+	if c.link == nil || !c.link.up {
+		out.Result = choice.Moot
+		c.notices = slices.DeleteFunc(c.notices, func(other *owed) bool { return other == o })
+	}
+	n.told(c, o, out)
+}
+
 func (n *node) dialFailed(c *call) {
 	if c.over || c.link.up {
 		return
@@ -676,6 +707,9 @@
 		wait++ // counted from a clock that may lie inside a tenth
 	}
 	for i, o := range c.notices {
+		if o.out != c {
+			continue // it has parted
+		}
 		out := choice.Outcome{Notice: o.ID, Dispatch: o.tries - 1, Endpoint: c.e.id, Took: n.Now() - c.began, Result: result,
 			Final: result == choice.Done, Wait: wait, Report: a.Report, Kept: c.kept, Closed: a.Close}
 		if a.Fates != nil && result == choice.Done && a.Fates[i] != 200 {
@@ -684,20 +718,24 @@
 		if len(c.notices) == 1 && out.Result != choice.Full {
 			out.Wait = 0
 		}
-		o.out = nil
-		switch out.Result {
-		case choice.Errored, choice.TimedOut, choice.Reset, choice.Spoilt:
-			if !o.MayRun {
-				o.MayRun, o.RanAt, o.RanIn = true, c.began, c.e.zone
-			}
-		default:
-			if !o.MayRun && !out.Final {
-				o.sure = false
-			}
+		n.told(c, o, out)
+	}
+}
+
+func (n *node) told(c *call, o *owed, out choice.Outcome) {
+	o.out = nil
+	switch out.Result {
+	case choice.Errored, choice.TimedOut, choice.Reset, choice.Cancelled, choice.Spoilt:
+		if !o.MayRun {
+			o.MayRun, o.RanAt, o.RanIn = true, c.began, c.e.zone
 		}
-		n.policy.Ended(out)
-		if out.Final {
-			n.over(o)
+	default:
+		if !o.MayRun && !out.Final {
+			o.sure = false
 		}
 	}
+	n.policy.Ended(out)
+	if out.Final {
+		n.over(o)
+	}
 }
