--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -123,3 +123,40 @@
 		t.Errorf("%d watches with short waits: the discovery played here is not overbooked", n)
 	}
 }
+
+// Half a list is no news: what a discovery that breaks off in the middle has said is not passed on, the version stays.
+// Nor does a list without endpoints, or with ones nobody knows, end anything.
+func ExampleWatch_half() {
+	answers := []string{`{"version":8,"full":true,"servers":[{"id":"a","addr":"h:1","sta`, `{"version":8,"full":true,"servers":[]}` + "\n" +
+		`{"version":9,"full":true,"servers":[{"id":"a","addr":"h:1","zone":"nowhere","kind":"unheard","state":"up"}]}` + "\n"}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Println("since", r.URL.Query().Get("since"))
+		io.WriteString(w, answers[0])
+		w.(http.Flusher).Flush()
+		answers = answers[1:]
+	}))
+	defer server.Close()
+	stop := make(chan struct{})
+	names := Names{}
+	Watch(server.Listener.Addr().String(), 2, 7, stop,
+		func(l List) {
+			entries, unread := names.Entries(l)
+			fmt.Println("version", l.Version, "entries", len(entries), "unread", unread)
+			if l.Version == 9 {
+				close(stop)
+			}
+		},
+		func(err error) {
+			select {
+			case <-stop:
+			default:
+				fmt.Println("ended:", err)
+			}
+		})
+	// Output:
+	// since 7
+	// ended: the watch was ended
+	// since 7
+	// version 8 entries 0 unread 0
+	// version 9 entries 1 unread 0
+}
