What ends as its call begins is told to the platform only once it is on record

A kill in between would have it sent again after its client was told to come back: an effect twice.

Line at fault: internal/sender/sender.go, turn: postEndings behind startCalls. Now the endings go out first and the calls last.

Test: Example_endedAsItsCallBegins, seen to fail without (posting in the same turn).

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -235,9 +235,12 @@
 		s.stirred = true
 	} else {
 		s.answerAdmitted()
-		s.startCalls()
 	}
 	s.postEndings()
+	if !s.failing {
+		// Last: what ends as its call begins is on record only with the next turn, and not told before.
+		s.startCalls()
+	}
 	s.checkDrain()
 }
 
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -228,6 +228,27 @@
 	// owed: 0 to the platform: 0
 }
 
+// What ends while the turn's calls begin is not told to the platform before the next turn has written it down: a kill in
+// between would have it sent again, though its client was told to come back.
+func Example_endedAsItsCallBegins() {
+	r := start("", 100)
+	r.hand("OUT.ADD 00 or c=order,d=20000,dest=9 x") // nobody serves 9 yet
+	r.s.dial = func(c *call) { r.s.end(c.notices[0], ending{what: endHandedBack}) }
+	r.list(`{"version":2,"servers":[{"id":"new","addr":"127.0.0.1:3","zone":"z","kind":"one","cell":9,"state":"up"}]}`)
+	for range 2 {
+		r.clock += 5 * time.Millisecond
+		r.s.turn()
+		fmt.Println("to the platform:", len(r.s.endings), "posting:", r.s.posting)
+	}
+	(<-r.s.inbox)()
+	os.RemoveAll(r.dir)
+	// Output:
+	// client: +OK
+	// to the platform: 1 posting: false
+	// to the platform: 1 posting: true
+	// platform: {"message":"or","outcome":"handed_back"}
+}
+
 // What is wrong with a command is said and takes nothing on; an id handed in once more is taken on already.
 func Example_commands() {
 	r := start("", 3).hand("PING", "ping hello", "FLUSHALL", "OUT.ADD 00 a", "OUT.ADD 00 a c=nil,d=1,dest=1 x",
