Lab: senders killed in a release come back on an old list while discovery is silent

The hard case had its parts in tests (kills in fleet-herd, spread list calls in TestWatchesComeBack) and no scenario that brings them together.

--- a/lab/sim/fleet_test.go
+++ b/lab/sim/fleet_test.go
@@ -21,6 +21,8 @@
 		"fleet-limits": {0.90, func(v *referee.Verdict) bool { return v.Refusals > 200 }},
 		// 0.71 and 0.68 where all keep to their parts of a limit that is used up.
 		"fleet-counting": {0.73, func(v *referee.Verdict) bool { return v.Refusals > 2000 }},
+		// Restarted on an old list while discovery says nothing and partners drain and go.
+		"fleet-release": {0.93, func(v *referee.Verdict) bool { return v.Refusals > 150 }},
 		// Breaks the rule on waits where one told by a full table is not heeded.
 		"fleet-shut":    {0.72, func(v *referee.Verdict) bool { return v.Refusals > 2000 }},
 		"fleet-returns": {0.85, func(v *referee.Verdict) bool { return v.Outages > 10 }},
