Fleets tell of used-up limits and of places wanted by notes

Each of 240 senders calls a route once in a hundred seconds and learns nothing in time: paces and retry budgets of one sender (`ready`, `slowDown`, `destination.again`) are to blame, their trickle of 0.2 retries a second for each sender and destination being 48 a second of all. 74 calls a second found no place at other-partner in the first 5 s (`spare`, which kept links to other zones and heard of nobody).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,8 +29,11 @@
 	byChance      = 60               // seconds in which chance alone may set an endpoint aside once
 	refusedRun    = 2                // refusals in a row, with nothing done for quietFor, mean shut
 	quietFor      = 2 * Second
-	crowdedFor    = Second / 2         // since something was done, a refusal without a limit is a full queue's
-	usedUp        = 0.3                // share of an allowance left up to which it explains a refusal
+	crowdedFor    = Second / 2        // since something was done, a refusal without a limit is a full queue's
+	usedUp        = 0.3               // share of an allowance left up to which it explains a refusal
+	notedPay      = 0.3               // retries that a call done pays for, where senders hear of one another
+	usedUpFor     = 500 * Millisecond // a limit met is left alone in a fleet that tells of it
+	noteUnit      = 20 * Millisecond
 	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
 	keptMost      = 0.05               // share reset on kept links from which single-use notices get new ones
 	doubtRun      = 6                  // calls done after an unanswered one before single-use notices go there
@@ -91,41 +94,42 @@
 	ranked                 []*endpoint
 	queues                 []*list.List // fresh ones, one for each workload, then due, then lane
 	laneOut, waiting, held int
-	again                  bucket // what pays for retries: calls done, and a trickle
-	stirred                bool   // in Sender.stirred
+	again                  *bucket // what pays for retries: its own, or in a fleet its kind's
+	stirred                bool    // in Sender.stirred
 }
 
 // kind is what is known of all destinations that the list calls alike.
 type kind struct {
 	Kind
 	reports bool    // its answers tell of limits, so that a refusal without one is no limit's
+	again   bucket  // what pays for retries: calls done, and a trickle
 	short   float64 // share of late connections that failed
 }
 
 // route is what limits, waits and returns count for: a destination, or an endpoint that is a route apart.
 type route struct {
-	pace                                bucket
-	load, good                          meter // own calls sent, and done
-	done, peak, rating, limit           float64
-	seen, full, top                     float64 // calls answered and refused since slowDown judged, highest load
-	wasShare, wasLoad, wasSeen, noise   float64 // of the last other load, and the share believed to stay
-	haltUntil, lastGood, lastCut, guess Time
-	fails, run                          int // failures and refusals since something was done
+	pace                                             bucket
+	load, good                                       meter // own calls sent, and done
+	done, peak, rating, limit                        float64
+	seen, full, top                                  float64 // calls answered and refused since slowDown judged, highest load
+	wasShare, wasLoad, wasSeen, noise                float64 // of the last other load, and the share believed to stay
+	haltUntil, lastGood, lastCut, guess, metAt, rest Time
+	fails, run                                       int // failures and refusals since something was done
 }
 
 type endpoint struct {
 	times
-	id                                                                        EndpointID
-	d                                                                         *destination
-	route                                                                     *route
-	zone                                                                      ZoneNo
-	calls, fails, doubt                                                       int
-	limit, wrong, bad, asked, full                                            float64 // wrong, bad: shares
-	used                                                                      meter
-	goodAt, failAt, badAt, asideAt, step, tryAt, linkUntil, coldFrom, coldWas Time // coldWas: before aside
-	listed, aside, passed, probing                                            bool
-	cold                                                                      bucket
-	open                                                                      *call
+	id                                                                                EndpointID
+	d                                                                                 *destination
+	route                                                                             *route
+	zone                                                                              ZoneNo
+	calls, fails, doubt                                                               int
+	limit, wrong, bad, asked, full                                                    float64 // wrong, bad: shares
+	used                                                                              meter
+	toldAt, goodAt, failAt, badAt, asideAt, step, tryAt, linkUntil, coldFrom, coldWas Time // coldWas: before aside
+	listed, aside, passed, probing                                                    bool
+	cold                                                                              bucket
+	open                                                                              *call
 }
 
 // call is one slot: the notices sent to one endpoint in one turn, until all have their outcomes.
@@ -137,24 +141,25 @@
 }
 
 type Sender struct {
-	h                                                                          Host
-	chance                                                                     chance
-	workloads                                                                  []Workload
-	kinds                                                                      []kind
-	shares                                                                     []bucket // by account
-	zone                                                                       ZoneNo
-	slots, laneMax, maxOpen, maxTries, turns                                   int
-	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare, kept   float64 // kept: see learn
-	now, born, base, cap, turn, cold, fall, loadSpan, keyRest, connIdle, askAt Time
-	longest, askEvery                                                          Time // 0 for none
-	probes, watching, halving, tellsFull                                       bool
-	lastTimer                                                                  TimerID
+	h                                                                             Host
+	chance                                                                        chance
+	workloads                                                                     []Workload
+	kinds                                                                         []kind
+	shares                                                                        []bucket // by account
+	zone                                                                          ZoneNo
+	slots, laneMax, maxOpen, maxTries, turns                                      int
+	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare, kept, pay float64 // kept: see learn
+	now, born, base, cap, turn, cold, fall, loadSpan, keyRest, connIdle, askAt    Time
+	longest, askEvery                                                             Time // 0 for none
+	probes, watching, halving, tellsFull, notes                                   bool
+	lastTimer                                                                     TimerID
 
 	held      map[NoticeID]*notice           // emptied as notices end
 	timers    map[TimerID]*notice            // emptied as each fires or its notice is released
 	lines     map[OrderKey]*keyLine          // emptied when a key has no notice and its rest is over
 	byID      map[DestinationID]*destination // emptied by the tick once without endpoints and notices
 	endpoints map[EndpointID]*endpoint       // likewise, once gone and without calls
+	signs     map[sign]*endpoint             // the same, by what stands for them in notes
 	waiting   []*destination                 // those with a queued notice, longest waiting first
 	stirred   []*destination                 // those the next tick looks at; emptied as they settle
 	calls     []*call                        // at most one for each slot
@@ -173,11 +178,12 @@
 		held: map[NoticeID]*notice{}, timers: map[TimerID]*notice{},
 		lines: map[OrderKey]*keyLine{}, byID: map[DestinationID]*destination{},
 		endpoints: map[EndpointID]*endpoint{}, tellsFull: set.TellsFull,
+		signs: map[sign]*endpoint{}, notes: set.Notes && set.Senders > smallFleet, pay: 1,
 	}
-	s.ratingPart = [...]float64{0, 1 / 1.5, 1}[set.Rating] / s.senders // a rough one may be half too high
-	for _, k := range set.Kinds {
-		s.kinds = append(s.kinds, kind{Kind: k})
+	if s.notes {
+		s.pay = notedPay
 	}
+	s.ratingPart = [...]float64{0, 1 / 1.5, 1}[set.Rating] / s.senders // a rough one may be half too high
 	shortest := Time(math.MaxInt64)
 	for _, w := range set.Workloads {
 		shortest = min(shortest, max(1, w.ContractTime))
@@ -185,6 +191,9 @@
 	}
 	s.base, s.cap = max(1, Time(baseShare*float64(shortest))), max(1, Time(capShare*float64(shortest)))
 	s.prior = max(1, priorShare*float64(shortest))
+	for _, k := range set.Kinds {
+		s.kinds = append(s.kinds, kind{Kind: k, again: bucket{1 / seconds(s.cap), float64(s.laneMax), s.now}})
+	}
 	for _, q := range set.Quotas {
 		s.shares = append(s.shares, bucket{q / s.senders, max(1, q/s.senders), s.now})
 	}
@@ -203,17 +212,20 @@
 	for _, entry := range entries {
 		d := s.destination(entry.Destination)
 		d.kind = &s.kinds[max(0, min(int(entry.Kind), len(s.kinds)-1))]
+		if s.notes {
+			d.again = &d.kind.again
+		}
 		e := s.endpoints[entry.Endpoint]
 		if e != nil && e.d != d {
 			e.listed, e = false, nil
 		}
 		if e == nil {
-			e = &endpoint{id: entry.Endpoint, d: d, route: d.route, limit: firstLimit, coldFrom: -s.cold,
+			e = &endpoint{id: entry.Endpoint, d: d, route: d.route, limit: firstLimit, coldFrom: -s.cold, toldAt: -quietFor,
 				times: times{mean: s.prior, dev: s.prior, past: s.prior}}
 			if d.kind.Apart {
 				e.route = &route{pace: bucket{unpaced, unpaced, s.now}, lastCut: s.now}
 			}
-			s.endpoints[e.id] = e
+			s.endpoints[e.id], s.signs[signOf(e.id)] = e, e
 			d.ranked = append(d.ranked, e)
 		}
 
@@ -232,7 +244,7 @@
 	if d == nil {
 		d = &destination{id: id, queues: lists(len(s.workloads) + 2)}
 		d.route = &route{pace: bucket{unpaced, unpaced, s.now}, lastCut: s.now}
-		d.again = bucket{1 / seconds(s.cap), float64(s.laneMax), s.now}
+		d.again = &bucket{1 / seconds(s.cap), float64(s.laneMax), s.now}
 		s.byID[id] = d
 	}
 	s.stir(d)
@@ -481,7 +493,7 @@
 func (s *Sender) spare(e *endpoint) {
 	use := e.used.read(s.now, loadSpan*Time(s.senders)) * seconds(s.connIdle)
 	idle := e.calls == 0 && (e.d.waiting == 0 || !e.route.ready(s.now) || !s.coldReady(e))
-	if idle && e.zone == s.zone && use < closeMore*e.d.kind.short {
+	if idle && use < closeMore*e.d.kind.short {
 		s.h.CloseIdle(e.id)
 		e.linkUntil = s.now
 	}
@@ -515,7 +527,7 @@
 	case Done:
 		e.measure(float64(o.Took), meanGain, pastGain)
 		e.d.kind.short *= 1 - meanGain*one(c.fresh)
-		r.done, e.d.again.level = r.done+1, e.d.again.level+1
+		r.done, e.d.again.level = r.done+1, e.d.again.level+s.pay
 		r.good.count(s.now, loadSpan*Time(s.senders))
 		r.peak, e.fails, r.fails, r.run, r.guess = max(r.peak, r.good.rate), 0, 0, 0, 0
 		e.doubt = max(0, e.doubt-1)
@@ -538,7 +550,10 @@
 			s.failed(e, 0)
 		}
 	case TimedOut, ConnectFailed:
-		e.d.kind.short += meanGain * (1 - e.d.kind.short) * one(o.Result == ConnectFailed && !s.tellsFull)
+		if o.Result == ConnectFailed && !s.tellsFull {
+			e.d.kind.short += meanGain * (1 - e.d.kind.short)
+			s.tell(e, 0)
+		}
 		if float64(s.now-c.sentAt) >= 2*s.prior || s.now < s.held[o.Notice].HardStop-2*s.turn { // else cut short
 			s.lost(c)
 		}
@@ -559,6 +574,12 @@
 	e, r, halted := c.e, c.e.route, c.e.route.haltUntil
 	r.run++
 	limited := o.Report.Limit > 0 && (o.Report.Left-usedUp)*o.Report.Limit < 1
+	if s.notes && s.now >= halted && (limited || o.Wait > 0 || !e.d.kind.reports) {
+		s.tell(e, max(o.Wait, usedUpFor))
+		if o.Wait == 0 {
+			s.heed(e, usedUpFor)
+		}
+	}
 	if o.Wait > 0 {
 		s.halt(e, o.Wait, o.Wait > longWait || e.d.kind.reports && !limited && s.now-r.lastGood > crowdedFor)
 	}
@@ -618,7 +639,7 @@
 				to = paceCut * min(r.pace.rate, to)
 			}
 		}
-		r.pace.rate = max(leastPace/s.senders, to)
+		r.pace.rate = max(leastPace/s.senders, one(s.notes)/seconds(s.cap), to)
 	}
 }
 
@@ -687,6 +708,52 @@
 	e.fails, e.aside = 0, false
 }
 
+// Heard takes a note: another sender was refused at a route, and told to wait or took its limit for used up.
+func (s *Sender) Heard(note []byte) {
+	s.now = s.h.Now()
+	if len(note) < len(sign{}) {
+		return
+	}
+	e, wait := s.signs[sign(note)], usedUpFor
+	if len(note) > len(sign{}) {
+		wait = Time(note[len(sign{})]) * noteUnit
+	}
+	if e == nil {
+	} else if wait > 0 {
+		s.heed(e, wait)
+	} else if e.toldAt = s.now; e.calls == 0 && e.linkUntil > s.now {
+		e.linkUntil = s.now
+		s.h.CloseIdle(e.id)
+	}
+}
+
+func (s *Sender) tell(e *endpoint, wait Time) {
+	note := signOf(e.id).bytes()
+	if wait != usedUpFor {
+		note = append(note, byte(min(255, wait/noteUnit)))
+	}
+	if s.notes && (wait > 0 || s.now >= e.toldAt+quietFor) {
+		s.h.Tell(note)
+		e.toldAt = s.now
+	}
+}
+
+// heed halts a route whose limit a sender of the fleet met, jittered, as what all hold back must not come at once;
+// for longer the sooner it is met again, which all hear alike. Harm: one that filled up meanwhile stays idle.
+func (s *Sender) heed(e *endpoint, wait Time) {
+	r := e.route
+	if s.now < r.metAt+r.rest/2 {
+		return
+	}
+	if s.now < r.metAt+2*r.rest {
+		r.rest = min(Second, r.rest+r.rest/2)
+	} else {
+		r.rest = usedUpFor
+	}
+	r.metAt = s.now
+	r.haltUntil = max(r.haltUntil, s.now+max(wait, r.rest/2)+s.chance.upTo(string(e.id), r.rest))
+}
+
 // halt heeds a told wait, jittered so that senders told alike do not return in step.
 func (s *Sender) halt(e *endpoint, wait Time, shut bool) {
 	end := s.now + wait + s.chance.upTo(string(e.id), min(wait/8, tick*4))
@@ -797,6 +864,7 @@
 		}
 		if s.endpoints[e.id] == e {
 			delete(s.endpoints, e.id)
+			delete(s.signs, signOf(e.id))
 		}
 		return true
 	})
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -303,7 +303,7 @@
 }
 
 // Idle links stay until connections of their kind fail: a fleet's links fill a table. Then those little used
-// are closed, but not those to another zone.
+// are closed, to any zone.
 func ExampleSender_links() {
 	set := plain()
 	set.ConnIdle = Second
@@ -319,6 +319,7 @@
 	// 1000.0  dispatch r to a
 	// 1000.0  close a
 	// 1000.0  dispatch s to a
+	// 1000.0  close a
 }
 
 // An endpoint of another zone not seen yet ranks behind one of the own zone.
--- a/choice/desk_test.go
+++ b/choice/desk_test.go
@@ -94,6 +94,7 @@
 func (d *desk) GiveUp(n NoticeID)        { d.print("give up %s", n) }
 func (d *desk) Probe(e EndpointID)       { d.print("probe %s", e) }
 func (d *desk) Watch(on bool)            { d.print("watch %v", on) }
+func (d *desk) Tell(note []byte)         { d.print("tell %x", note) }
 func (d *desk) CloseIdle(e EndpointID) {
 	if d.links {
 		d.print("close %s", e)
--- a/choice/host.go
+++ b/choice/host.go
@@ -177,6 +177,7 @@
 	Probe(e EndpointID)
 	Watch(on bool)
 	CloseIdle(e EndpointID)
+	Tell(note []byte) // to all other senders; it may be lost, and is asked for only where Settings.Notes is set
 	Timer(in Time, id TimerID)
 	Forget(id TimerID) // a timer that need not fire any more; one that fires all the same does no harm
 }
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -97,6 +97,15 @@
 	return max(0, 1-(1-w.LateGain)*late/float64(max(1, w.HardStop-w.ContractTime)))
 }
 
+// sign stands for an endpoint in notes, where each byte is paid for by every sender that hears it.
+type sign [2]byte
+
+func signOf(id EndpointID) sign {
+	return sign(binary.LittleEndian.AppendUint32(nil, crc32.ChecksumIEEE([]byte(id)))[:len(sign{})])
+}
+
+func (g sign) bytes() []byte { return g[:] }
+
 // luck is by how much two shares of so many draws, alike but for chance, lie apart: one deviation.
 func luck(share, a, b float64) float64 {
 	return math.Sqrt(share * (1 - share) * (1/max(1, a) + 1/max(1, b)))
--- /dev/null
+++ b/choice/notes_test.go
@@ -0,0 +1,62 @@
+package choice
+
+import "fmt"
+
+func noted() Settings {
+	set := plain()
+	set.Senders, set.Probing, set.Notes, set.ConnIdle = 80, false, true, 10*Second
+	return set
+}
+
+// Who meets a used-up limit rests the route and tells all; who hears of it rests the route as well, and goes on
+// elsewhere. A note that names nothing known, or is cut short, does nothing.
+func ExampleSender_Heard() {
+	d := open(noted()).take(0, 1, "p")
+	d.s.Ended(Outcome{Notice: "p", Endpoint: "a", Result: Full, Report: Report{Known: true, Limit: 8}})
+	d.take(0, 1, "q").run(1600 * Millisecond)
+	fmt.Println("another")
+	d = open(noted())
+	for _, note := range [][]byte{{}, {1}, {1, 2}, {1, 2, 3, 4}, signOf("c").bytes()} {
+		d.s.Heard(note)
+	}
+	d.take(0, 2, "r").take(0, 1, "s").run(1600 * Millisecond)
+	// Output:
+	// 0.0     dispatch p to a
+	// 0.0     tell 43be
+	// 950.0   dispatch q to a
+	// 950.0   dispatch p to a
+	// another
+	// 0.0     dispatch s to a
+	// 950.0   dispatch r to c
+}
+
+// Who finds no place at an endpoint tells so, once in two seconds; who has a link idle there gives it up.
+func ExampleSender_Heard_place() {
+	d := open(noted()).take(0, 1, "p", "q").ended(ConnectFailed, 0, "a", "p", "q")
+	d = open(noted()).take(0, 1, "r").ended(Done, 0, "a", "r")
+	d.links = true
+	d.s.Heard(append(signOf("a").bytes(), 0))
+	d.s.Heard(append(signOf("a").bytes(), 0))
+	// Output:
+	// 0.0     dispatch q to a
+	// 0.0     dispatch p to a
+	// 0.0     tell 43be00
+	// 0.0     dispatch r to a
+	// 0.0     close a
+}
+
+// In a fleet with notes the calls done at a kind pay for retries there: where nothing is done, the budget of one
+// kind ends, whatever the number of its destinations.
+func ExampleSender_kindPays() {
+	d := open(noted())
+	d.mute = true
+	d.s.ListNews([]Entry{{Endpoint: "e", Destination: 3}, {Endpoint: "f", Destination: 4}}, false, false)
+	d.take(0, 1, "p").take(0, 3, "q").take(0, 4, "r")
+	for i, id := range []NoticeID{"p", "q", "r"} {
+		d.ended(Errored, 0, EndpointID("aef"[i:i+1]), id)
+	}
+	d.run(400 * Millisecond)
+	fmt.Println("dispatches:", d.tries["p"]+d.tries["q"]+d.tries["r"])
+	// Output:
+	// dispatches: 5
+}
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -35,6 +35,26 @@
 	// done
 }
 
+// Notes go both ways: a connection that failed is told to all peers, and what a peer tells of a limit rests the route.
+func Example_notes() {
+	fleet := strings.NewReplacer(`"balancers":2`, `"balancers":20`, `"probing":true`, `"probing":true,"peers":true`).Replace(boot)
+	play("frame 1000000000", "start sender-0 7 "+fleet, "catalog 3 1", "item - 0 1 endpoint_a 0 57 ready", "targets sender-0 C 1 3",
+		"knock sender-0 t/a 0 0 - 7000000000 - 57 0", "go", "frame 1200000000", "inbox sender-0 2 BJEA",
+		"finished sender-0 t/a 200000000 0 endpoint_a 0 UNAVAILABLE - -", "knock sender-0 t/b 0 0 - 7000000000 - 57 0", "go")
+	// Output:
+	// timer	sender-0	50000000	0
+	// timer	sender-0	5590100000	1
+	// submit_to	sender-0	t/a	4400000000	endpoint_a
+	// done
+	// publish	sender-0	*	RHsA
+	// free_links	sender-0	endpoint_a
+	// timer	sender-0	40700000	2
+	// timer	sender-0	5390100000	3
+	// timer	sender-0	5390100000	4
+	// submit_to	sender-0	t/b	4400000000	endpoint_a
+	// done
+}
+
 // A sender that dies in a batch takes what it said there with it, and may start again at once.
 func Example_crash() {
 	play(opening("knock sender-0 t/a 0 0 - 1000000001 - 57 0", "crash_now sender-0",
--- a/internal/drill/events.go
+++ b/internal/drill/events.go
@@ -123,8 +123,12 @@
 
 func (s *seat) inbox(p *parts) error {
 	p.whole("neighbour")
-	p.bytes("contents")
-	return p.end()
+	note := p.bytes("contents")
+	if err := p.end(); err != nil || s.module == nil {
+		return err
+	}
+	s.module.Heard(note)
+	return nil
 }
 
 func (s *seat) crash(p *parts) error {
--- a/internal/drill/host.go
+++ b/internal/drill/host.go
@@ -1,6 +1,7 @@
 package drill
 
 import (
+	"encoding/base64"
 	"fmt"
 
 	"flaxcove/choice"
@@ -31,6 +32,10 @@
 	s.say("stream_changes\t%s\t%d", s.id, enable)
 }
 
+func (s *seat) Tell(note []byte) {
+	s.say("publish\t%s\t*\t%s", s.id, base64.StdEncoding.EncodeToString(note))
+}
+
 func (s *seat) CloseIdle(e choice.EndpointID) { s.say("free_links\t%s\t%s", s.id, e) }
 
 func (s *seat) Timer(in choice.Time, id choice.TimerID) {
--- a/lab/sim/node.go
+++ b/lab/sim/node.go
@@ -407,6 +407,9 @@
 	n.stir()
 }
 
+// Tell says nothing: Settings.Notes is unset, as on sockets.
+func (n *node) Tell([]byte) {}
+
 func (n *node) CloseIdle(id choice.EndpointID) {
 	if e := n.ends[id]; e != nil {
 		n.closeIdle(e)
