Room goes to what earns most for it; route fees weigh in ranks; answers are told on

To blame: `turnsAway` looked for the longest queue and so never saw notices that wait behind their key, and gave the places of short, healthy work to backlogs of shut destinations. MaxOpen is 4 to 9 s of load, an outage lasts 20. Changed: what goes is what earns least for the room and time that it needs (place in its key, waits, an outage as long again). extra.carriage was read nowhere: it is checked, and lengthens the time by which routes apart are ranked (20 times the fee).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,6 +21,7 @@
 	tick          = 50 * Millisecond // renews ranks, finds silence, lets waits end
 	priorShare    = 0.5              // a call's usual time before any was measured, likewise
 	laneShare     = 4                // one slot in so many drains a destination's refused notices
+	feeWeight     = 20.0             // times longer that a route may take, for each notice's worth that its fee is lower
 	patience      = 10.0             // spreads above the mean before a repeatable call is given up
 	finalPatience = 4.0              // times longer where a time-out is final and all slots are free
 	overdueAfter  = 4.0              // times its past before a call out counts as unanswered
@@ -34,6 +35,7 @@
 	notedPay      = 0.3               // retries that a call done pays for, where senders hear of one another
 	usedUpFor     = 500 * Millisecond // a limit met is left alone in a fleet that tells of it
 	noteUnit      = 20 * Millisecond
+	answers       = 255 * noteUnit     // stands for a call answered where one had failed
 	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
 	keptMost      = 0.05               // share reset on kept links from which single-use notices get new ones
 	doubtRun      = 6                  // calls done after an unanswered one before single-use notices go there
@@ -145,7 +147,8 @@
 	chance                                                                        chance
 	workloads                                                                     []Workload
 	kinds                                                                         []kind
-	shares                                                                        []bucket // by account
+	shares                                                                        []bucket  // by account
+	fees                                                                          []float64 // by zone
 	zone                                                                          ZoneNo
 	slots, laneMax, maxOpen, maxTries, turns                                      int
 	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare, kept, pay float64 // kept: see learn
@@ -168,7 +171,7 @@
 func Start(h Host, id SenderID, seed int64, set Settings) *Sender {
 	s := &Sender{
 		h: h, chance: newChance(id, seed), now: h.Now(), born: h.Now(),
-		workloads: set.Workloads, halving: set.Halving, slots: set.Slots,
+		workloads: set.Workloads, fees: set.RouteFees, halving: set.Halving, slots: set.Slots,
 		laneMax: max(1, set.Slots/laneShare), maxOpen: set.MaxOpen, maxTries: set.MaxDispatches,
 		senders: float64(set.Senders), zone: set.Zone, longest: set.LongestReturn, overGain: set.OverShareGain,
 		probes: set.Probing && set.Senders <= smallFleet, connIdle: set.ConnIdle, turn: max(1, set.Turn),
@@ -289,22 +292,20 @@
 	s.queue(n)
 }
 
-// turnsAway keeps room below MaxOpen: by chance, or where the new one's destination holds much of what is
-// left, one goes, the cheaper more often: of least worth, first in the longest backlog, or the new one (true).
+// turnsAway keeps room below MaxOpen: by chance, or where the new one's destination holds much of what is left, that
+// notice goes which earns least for the room and time that it still needs. It tells whether that is the new one.
 func (s *Sender) turnsAway(n *notice) bool {
 	p := (float64(len(s.held))/float64(s.maxOpen) - crowdFrom) / (1 - crowdFrom)
 	much := float64(n.d.held) > heldMost*float64(s.maxOpen-len(s.held))
 	if !much && (p <= 0 || s.chance.share(string(n.ID)) >= p*(2-n.gain/s.topGain)) {
 		return false
 	}
-	victim := n
-	if len(s.waiting) > 0 {
-		longest := slices.MaxFunc(s.waiting, func(a, b *destination) int { return a.waiting - b.waiting })
-		for _, l := range longest.queues {
-			if l.Len() > 0 {
-				if v := l.Front().Value.(*notice); victim == n && longest != n.d || s.worth(v) < s.worth(victim) {
-					victim = v
-				}
+	victim, least := n, math.Inf(1)
+	for _, v := range s.held {
+		if v.out == nil && (p > 0 || v.d == n.d) {
+			needs := s.needs(v)
+			if earns := s.worth(v, needs) / float64(needs); earns < least || earns == least && v.ID < victim.ID {
+				victim, least = v, earns
 			}
 		}
 	}
@@ -314,6 +315,21 @@
 	return victim == n
 }
 
+// needs is for how long a notice will take up room: behind those of its key, through waits, and through an outage
+// that lasts as long again as it has.
+func (s *Sender) needs(n *notice) Time {
+	ahead, out := 1, Time(math.MaxInt64)
+	if n.line != nil {
+		ahead += slices.Index(n.line.notices, n)
+	}
+	for _, e := range n.d.ranked {
+		if e.listed {
+			out = min(out, max(0, e.route.haltUntil-s.now, Time(one(e.aside))*(s.now-e.asideAt)))
+		}
+	}
+	return Time(s.usual(n.d))*Time(ahead) + max(n.dueAt-s.now, min(out, n.HardStop-s.now), 1)
+}
+
 // queue lays a notice up, once: the end of one turned away may have given a new one of its key its turn
 // already, and what stands in two places is shed, and sent after its end.
 func (s *Sender) queue(n *notice) {
@@ -360,8 +376,8 @@
 	return last
 }
 
-func (s *Sender) worth(n *notice) float64 {
-	return n.gain * n.w.Fade(s.now+Time(s.usual(n.d))-n.born, s.halving)
+func (s *Sender) worth(n *notice, in Time) float64 {
+	return n.gain * n.w.Fade(s.now+in-n.born, s.halving)
 }
 
 func (s *Sender) usual(d *destination) float64 {
@@ -563,9 +579,17 @@
 // busy is when one more call would be done, one by one; a refusal costs a wait. An unseen far one ranks behind.
 func (s *Sender) busy(e *endpoint) float64 {
 	if e.seen == 0 && e.zone != s.zone {
-		return 2 * e.mean
+		return 2 * e.mean * s.dear(e)
 	}
-	return (e.mean*float64(1+e.calls) + e.bad*float64(s.base)) / (1 - e.bad)
+	return (e.mean*float64(1+e.calls) + e.bad*float64(s.base)) / (1 - e.bad) * s.dear(e)
+}
+
+// dear weighs a route's fee against its time: of two that answer in time the cheaper, but no slow one for it.
+func (s *Sender) dear(e *endpoint) float64 {
+	if i := int(e.zone); e.d.kind.Apart && i >= 0 && i < len(s.fees) {
+		return 1 + feeWeight*s.fees[i]
+	}
+	return 1
 }
 
 // refused tells a limit, which a report shows used up, from a shut destination. With neither report nor wait
@@ -575,7 +599,7 @@
 	r.run++
 	limited := o.Report.Limit > 0 && (o.Report.Left-usedUp)*o.Report.Limit < 1
 	if s.notes && s.now >= halted && (limited || o.Wait > 0 || !e.d.kind.reports) {
-		s.tell(e, max(o.Wait, usedUpFor))
+		s.tell(e, min(answers-1, max(o.Wait, usedUpFor)))
 		if o.Wait == 0 {
 			s.heed(e, usedUpFor)
 		}
@@ -704,6 +728,7 @@
 		e.coldFrom = e.coldWas
 	} else if e.aside && sentAt >= e.asideAt { // a call from before shows no return
 		s.chill(e, (e.failAt+s.now)/2)
+		s.tell(e, answers)
 	}
 	e.fails, e.aside = 0, false
 }
@@ -719,6 +744,10 @@
 		wait = Time(note[len(sign{})]) * noteUnit
 	}
 	if e == nil {
+	} else if wait == answers {
+		if e.toldAt = s.now; e.aside {
+			s.comeBack(e, s.now)
+		}
 	} else if wait > 0 {
 		s.heed(e, wait)
 	} else if e.toldAt = s.now; e.calls == 0 && e.linkUntil > s.now {
@@ -730,9 +759,9 @@
 func (s *Sender) tell(e *endpoint, wait Time) {
 	note := signOf(e.id).bytes()
 	if wait != usedUpFor {
-		note = append(note, byte(min(255, wait/noteUnit)))
+		note = append(note, byte(min(answers, wait)/noteUnit))
 	}
-	if s.notes && (wait > 0 || s.now >= e.toldAt+quietFor) {
+	if s.notes && (wait > 0 && wait < answers || s.now >= e.toldAt+quietFor) {
 		s.h.Tell(note)
 		e.toldAt = s.now
 	}
@@ -903,7 +932,7 @@
 				}
 				n := l.Back().Value.(*notice)
 				if e := s.place(n, l == d.lane() && d.laneOut >= s.laneMax); e != nil {
-					if v := (s.worth(n) + 1e-6) / max(1, e.mean); v > top {
+					if v := (s.worth(n, Time(s.usual(n.d))) + 1e-6) / max(1, e.mean); v > top {
 						best, to, top = n, e, v
 					}
 				}
--- a/choice/host.go
+++ b/choice/host.go
@@ -94,6 +94,7 @@
 	ColdFrom       float64
 	Cold           Time
 	KeyRest        Time
+	RouteFees      []float64 // by zone: what a notice taken on by a route apart there costs, in notices of mean gain
 	RefusedPrice   float64
 	HandshakePrice float64
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -42,6 +42,7 @@
 	Extra      struct {
 		BundleMax       []int
 		CallsOut        int
+		Carriage        []float64
 		Fades           string
 		SeparateRoutes  []bool
 		TurnedAwayPrice float64
@@ -167,6 +168,14 @@
 		k.Apart = i < len(b.Extra.SeparateRoutes) && b.Extra.SeparateRoutes[i]
 		s.Kinds = append(s.Kinds, k)
 	}
+	for i, fee := range b.Extra.Carriage {
+		if !(fee >= 0 && fee <= 1) {
+			return s, fmt.Errorf("extra.carriage[%d]: %v is not 0 to 1", i, fee)
+		}
+	}
+	if s.RouteFees = b.Extra.Carriage; len(s.RouteFees) > len(b.Zones) {
+		return s, fmt.Errorf("extra.carriage: %d fees for %d zones", len(s.RouteFees), len(b.Zones))
+	}
 	for _, a := range b.Accounts {
 		s.Quotas = append(s.Quotas, a.QuotaRps)
 	}
