What joins a route that is out or cold joins as out or cold

The trace shows 26 calls of 17 senders in 0.4 s to two endpoints added at 26.4 and 27.0 s while its three old ones were set aside everywhere; all that waited went there at once. To blame: `ListNews` starts every endpoint as warm and unknown (coldFrom before all time). Ruled out: budgets (nothing beyond them went to the old three) and notes (none before).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -228,6 +228,11 @@
 			if d.kind.Apart {
 				e.route = &route{pace: bucket{unpaced, unpaced, s.now}, lastCut: s.now}
 			}
+			for _, other := range d.ranked {
+				if other.route == e.route && (other.aside && !e.aside || other.coldFrom > e.coldFrom) {
+					s.join(e, other)
+				}
+			}
 			s.endpoints[e.id], s.signs[signOf(e.id)] = e, e
 			d.ranked = append(d.ranked, e)
 		}
@@ -710,6 +715,15 @@
 	}
 }
 
+// join makes what is added to a route no warmer and no more certain than the rest of it: most of a destination may
+// be replaced while it is out or cold, and what is new was free of its budget. Harm: one that is well waits for a trial.
+func (s *Sender) join(e, other *endpoint) {
+	s.stir(e.d)
+	e.times, e.aside, e.asideAt, e.failAt = other.times, other.aside, other.asideAt, other.failAt
+	e.step, e.tryAt, e.passed = other.step, other.tryAt, other.passed
+	e.coldFrom, e.coldWas, e.cold = other.coldFrom, other.coldWas, bucket{at: max(s.now, other.cold.at)}
+}
+
 // setAside stops sends to an endpoint whose calls fail, whatever the cause. It comes back by a probe, where
 // the fleet is small, and then a trial call. Harm: a healthy endpoint with two chance failures.
 func (s *Sender) setAside(e *endpoint) {
--- a/choice/notes_test.go
+++ b/choice/notes_test.go
@@ -60,3 +60,19 @@
 	// Output:
 	// dispatches: 5
 }
+
+// What replaces the endpoints of a destination that is out joins it as out: it is tried as one that may be cold, where
+// it would take all that waits at once.
+func ExampleSender_replacedWhileOut() {
+	set := plain()
+	set.Senders, set.Probing = 80, false
+	d := open(set).run(3*Second).take(0, 1, "p").ended(ConnectFailed, 0, "a", "p").take(0, 1, "q", "r")
+	d.s.ListNews([]Entry{{Endpoint: "a", Destination: 1, Stage: Gone}, {Endpoint: "new", Destination: 1, Rating: 10}}, false, false)
+	d.run(100 * Millisecond)
+	d.s.ListNews([]Entry{{Endpoint: "newer", Destination: 1, Rating: 10}}, false, false)
+	d.run(100 * Millisecond)
+	fmt.Println(d.s.endpoints["new"].aside, d.s.endpoints["newer"].aside)
+	// Output:
+	// 3000.0  dispatch p to a
+	// true true
+}
