--- a/choice/choice.go
+++ b/choice/choice.go
@@ -59,6 +59,7 @@
 	unpaced        = 1e6  // calls a second while no limit was met
 	paceGrow       = 0.05 // a second
 	closeMore      = 30.0 // own calls due while a link would idle, a share of failures, to keep it
+	shareSpan      = 30.0 // seconds of an account's share that may come at once: a sender's part of it is few notices
 	crowdFrom      = 0.85 // share of MaxOpen from which notices are turned away by chance
 	heldMost       = 4.0  // times the room left that one destination may hold
 )
@@ -198,7 +199,7 @@
 		s.kinds = append(s.kinds, kind{Kind: k, again: bucket{1 / seconds(s.cap), float64(s.laneMax), s.now}})
 	}
 	for _, q := range set.Quotas {
-		s.shares = append(s.shares, bucket{q / s.senders, max(1, q/s.senders), s.now})
+		s.shares = append(s.shares, bucket{q / s.senders, shareSpan * q / s.senders, s.now})
 	}
 	s.askEvery = Time(one(set.AskForList)) * max(Second, set.AskWithin/4)
 	h.Timer(tick, tickTimer)
@@ -272,7 +273,7 @@
 	w := &s.workloads[in.Workload]
 	n := &notice{Notice: in, w: w, d: s.destination(in.Destination), gain: w.Gain}
 	n.born = in.HardStop - w.HardStop
-	if a := int(in.Account); a >= 0 && a < len(s.shares) && !s.shares[a].take(s.now) {
+	if a := int(in.Account); a >= 0 && a < len(s.shares) && !s.shares[a].take(s.now, shareSpan) {
 		n.gain *= s.overGain
 	}
 	s.held[n.ID] = n
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -64,9 +64,9 @@
 	return b.level
 }
 
-// take draws one where there is one; a second's fill is kept.
-func (b *bucket) take(now Time) bool {
-	is := b.fill(now, max(1, b.rate)) >= 1
+// take draws one where there is one; the fill of a span of seconds is kept.
+func (b *bucket) take(now Time, span float64) bool {
+	is := b.fill(now, max(1, span*b.rate)) >= 1
 	b.level -= one(is)
 	return is
 }
