A used-up route rests for as long as its kind usually tells to wait

Trace of destination 1: a route of 1.4 calls a second refuses single calls a second apart, and one in ten of its refusals tells a wait of 3170 ms: refused calls had put it in debt. To blame: `heed`, which rested every route for half a second to a second, whatever its kind tells. Changed: a kind keeps what its used-up routes tell to wait, by own answers and by notes, and untold rests go by that.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,6 @@
 	notedPay      = 0.3               // retries that a call done pays for, where senders hear of one another
 	usedUpFor     = 500 * Millisecond // a limit met is left alone in a fleet that tells of it
 	noteUnit      = 20 * Millisecond
-	answers       = 255 * noteUnit     // stands for a call answered where one had failed
 	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
 	keptMost      = 0.05               // share reset on kept links from which single-use notices get new ones
 	doubtRun      = 6                  // calls done after an unanswered one before single-use notices go there
@@ -106,6 +105,7 @@
 	Kind
 	reports bool    // its answers tell of limits, so that a refusal without one is no limit's
 	again   bucket  // what pays for retries: calls done, and a trickle
+	wait    Time    // what used-up routes usually tell to wait
 	short   float64 // share of late connections that failed
 }
 
@@ -196,7 +196,7 @@
 	s.base, s.cap = max(1, Time(baseShare*float64(shortest))), max(1, Time(capShare*float64(shortest)))
 	s.prior = max(1, priorShare*float64(shortest))
 	for _, k := range set.Kinds {
-		s.kinds = append(s.kinds, kind{Kind: k, again: bucket{1 / seconds(s.cap), float64(s.laneMax), s.now}})
+		s.kinds = append(s.kinds, kind{Kind: k, wait: usedUpFor, again: bucket{1 / seconds(s.cap), float64(s.laneMax), s.now}})
 	}
 	for _, q := range set.Quotas {
 		s.shares = append(s.shares, bucket{q / s.senders, shareSpan * q / s.senders, s.now})
@@ -574,7 +574,7 @@
 	case TimedOut, ConnectFailed:
 		if o.Result == ConnectFailed && !s.tellsFull {
 			e.d.kind.short += meanGain * (1 - e.d.kind.short)
-			s.tell(e, 0)
+			s.tell(e, 0, false)
 		}
 		if float64(s.now-c.sentAt) >= 2*s.prior || s.now < s.held[o.Notice].HardStop-2*s.turn { // else cut short
 			s.lost(c)
@@ -582,7 +582,7 @@
 	}
 }
 
-// busy is when one more call would be done, one by one; a refusal costs a wait. An unseen far one ranks behind.
+// busy is when one more call would be done, one by one; a refusal costs a wait.
 func (s *Sender) busy(e *endpoint) float64 {
 	if e.seen == 0 && e.zone != s.zone {
 		return 2 * e.mean * s.dear(e)
@@ -605,10 +605,8 @@
 	r.run++
 	limited := o.Report.Limit > 0 && (o.Report.Left-usedUp)*o.Report.Limit < 1
 	if s.notes && s.now >= halted && (limited || o.Wait > 0 || !e.d.kind.reports) {
-		s.tell(e, min(answers-1, max(o.Wait, usedUpFor)))
-		if o.Wait == 0 {
-			s.heed(e, usedUpFor)
-		}
+		s.tell(e, o.Wait, o.Wait == 0)
+		s.heed(e, o.Wait)
 	}
 	if o.Wait > 0 {
 		s.halt(e, o.Wait, o.Wait > longWait || e.d.kind.reports && !limited && s.now-r.lastGood > crowdedFor)
@@ -743,56 +741,57 @@
 		e.coldFrom = e.coldWas
 	} else if e.aside && sentAt >= e.asideAt { // a call from before shows no return
 		s.chill(e, (e.failAt+s.now)/2)
-		s.tell(e, answers)
 	}
 	e.fails, e.aside = 0, false
 }
 
-// Heard takes a note: another sender was refused at a route, and told to wait or took its limit for used up.
+// Heard takes a note of another sender: of an endpoint alone where a limit was met, with a wait that was told, or with
+// none where no place was found.
 func (s *Sender) Heard(note []byte) {
 	s.now = s.h.Now()
 	if len(note) < len(sign{}) {
 		return
 	}
-	e, wait := s.signs[sign(note)], usedUpFor
-	if len(note) > len(sign{}) {
-		wait = Time(note[len(sign{})]) * noteUnit
-	}
-	if e == nil {
-	} else if wait == answers {
-		if e.toldAt = s.now; e.aside {
-			s.comeBack(e, s.now)
+	switch e := s.signs[sign(note)]; {
+	case e == nil:
+	case len(note) == len(sign{}):
+		s.heed(e, 0)
+	case note[len(sign{})] > 0:
+		s.heed(e, Time(note[len(sign{})])*noteUnit)
+	default:
+		if e.toldAt = s.now; e.calls == 0 && e.linkUntil > s.now {
+			e.linkUntil = s.now
+			s.h.CloseIdle(e.id)
 		}
-	} else if wait > 0 {
-		s.heed(e, wait)
-	} else if e.toldAt = s.now; e.calls == 0 && e.linkUntil > s.now {
-		e.linkUntil = s.now
-		s.h.CloseIdle(e.id)
 	}
 }
 
-func (s *Sender) tell(e *endpoint, wait Time) {
-	note := signOf(e.id).bytes()
-	if wait != usedUpFor {
-		note = append(note, byte(min(answers, wait)/noteUnit))
+// tell tells the others of a limit met, of a wait, or, once in a while, of a place wanted.
+func (s *Sender) tell(e *endpoint, wait Time, met bool) {
+	if !s.notes || wait == 0 && !met && s.now < e.toldAt+quietFor {
+		return
 	}
-	if s.notes && (wait > 0 && wait < answers || s.now >= e.toldAt+quietFor) {
-		s.h.Tell(note)
-		e.toldAt = s.now
+	note := signOf(e.id).bytes()
+	if !met {
+		e.toldAt, note = s.now, append(note, byte(min(255, (wait+noteUnit-1)/noteUnit)))
 	}
+	s.h.Tell(note)
 }
 
-// heed halts a route whose limit a sender of the fleet met, jittered, as what all hold back must not come at once;
-// for longer the sooner it is met again, which all hear alike. Harm: one that filled up meanwhile stays idle.
+// heed rests a route whose limit a sender of the fleet met, jittered, as what all hold back must not come at once: for as
+// long as its kind usually tells to wait, and longer the sooner it is met again. Harm: one that filled up stays idle.
 func (s *Sender) heed(e *endpoint, wait Time) {
-	r := e.route
+	r, k := e.route, e.d.kind
+	if wait > 0 && wait < lastGuess/2 {
+		k.wait += Time(meanGain * float64(wait-k.wait))
+	}
 	if s.now < r.metAt+r.rest/2 {
 		return
 	}
 	if s.now < r.metAt+2*r.rest {
-		r.rest = min(Second, r.rest+r.rest/2)
+		r.rest = min(max(Second, 2*k.wait), r.rest+r.rest/2)
 	} else {
-		r.rest = usedUpFor
+		r.rest = k.wait
 	}
 	r.metAt = s.now
 	r.haltUntil = max(r.haltUntil, s.now+max(wait, r.rest/2)+s.chance.upTo(string(e.id), r.rest))
--- a/choice/notes_test.go
+++ b/choice/notes_test.go
@@ -23,11 +23,11 @@
 	// Output:
 	// 0.0     dispatch p to a
 	// 0.0     tell 43be
-	// 950.0   dispatch q to a
-	// 950.0   dispatch p to a
+	// 700.0   dispatch q to a
+	// 700.0   dispatch p to a
 	// another
 	// 0.0     dispatch s to a
-	// 950.0   dispatch r to c
+	// 700.0   dispatch r to c
 }
 
 // Who finds no place at an endpoint tells so, once in two seconds; who has a link idle there gives it up.
