--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,11 +30,10 @@
 	byChance      = 60               // seconds in which chance alone may set an endpoint aside once
 	refusedRun    = 2                // refusals in a row, with nothing done for quietFor, mean shut
 	quietFor      = 2 * Second
-	crowdedFor    = Second / 2        // since something was done, a refusal without a limit is a full queue's
-	usedUp        = 0.3               // share of an allowance left up to which it explains a refusal
-	notedPay      = 0.3               // retries that a call done pays for, where senders hear of one another
-	usedUpFor     = 500 * Millisecond // a limit met is left alone in a fleet that tells of it
-	noteUnit      = 20 * Millisecond
+	crowdedFor    = Second / 2         // since something was done, a refusal without a limit is a full queue's
+	usedUp        = 0.3                // share of an allowance left up to which it explains a refusal
+	notedPay      = 0.3                // retries that a call done pays for, where senders hear of one another
+	usedUpFor     = 500 * Millisecond  // a limit met is left alone in a fleet that tells of it
 	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
 	keptMost      = 0.05               // share reset on kept links from which single-use notices get new ones
 	doubtRun      = 6                  // calls done after an unanswered one before single-use notices go there
@@ -60,7 +59,6 @@
 	closeMore      = 30.0 // own calls due while a link would idle, a share of failures, to keep it
 	shareSpan      = 30.0 // seconds of an account's share that may come at once: a sender's part of it is few notices
 	crowdFrom      = 0.85 // share of MaxOpen from which notices are turned away by chance
-	heldMost       = 4.0  // times the room left that one destination may hold
 )
 
 const tickTimer TimerID = 0 // the others stand for notices
@@ -122,17 +120,24 @@
 
 type endpoint struct {
 	times
-	id                                                                                EndpointID
-	d                                                                                 *destination
-	route                                                                             *route
-	zone                                                                              ZoneNo
-	calls, fails, doubt                                                               int
-	limit, wrong, bad, asked, full                                                    float64 // wrong, bad: shares
-	used                                                                              meter
-	toldAt, goodAt, failAt, badAt, asideAt, step, tryAt, linkUntil, coldFrom, coldWas Time // coldWas: before aside
-	listed, aside, passed, probing                                                    bool
-	cold                                                                              bucket
-	open                                                                              *call
+	standing
+	id                                   EndpointID
+	d                                    *destination
+	route                                *route
+	zone                                 ZoneNo
+	calls, fails, doubt                  int
+	limit, wrong, bad, asked, full, dear float64 // wrong, bad: shares
+	used                                 meter
+	toldAt, goodAt, badAt, linkUntil     Time
+	listed, probing                      bool
+	cold                                 bucket
+	open                                 *call
+}
+
+// standing is whether and since when an endpoint is set aside or cold; coldWas is the coldness before.
+type standing struct {
+	aside, passed                                   bool
+	failAt, asideAt, step, tryAt, coldFrom, coldWas Time
 }
 
 // call is one slot: the notices sent to one endpoint in one turn, until all have their outcomes.
@@ -153,9 +158,9 @@
 	zone                                                                          ZoneNo
 	slots, laneMax, maxOpen, maxTries, turns                                      int
 	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare, kept, pay float64 // kept: see learn
-	now, born, base, cap, turn, cold, fall, loadSpan, keyRest, connIdle, askAt    Time
-	longest, askEvery                                                             Time // 0 for none
-	probes, watching, halving, tellsFull, notes                                   bool
+	now, born, base, cap, turn, cold, fall, loadSpan, keyRest, connIdle           Time
+	longest                                                                       Time // 0 for none
+	probes, halving, tellsFull, notes                                             bool
 	lastTimer                                                                     TimerID
 
 	held      map[NoticeID]*notice           // emptied as notices end
@@ -201,15 +206,13 @@
 	for _, q := range set.Quotas {
 		s.shares = append(s.shares, bucket{q / s.senders, shareSpan * q / s.senders, s.now})
 	}
-	s.askEvery = Time(one(set.AskForList)) * max(Second, set.AskWithin/4)
 	h.Timer(tick, tickTimer)
 	return s
 }
 
-// ListNews tells all entries of the list, or those that changed. A stale list does not show a watch.
-func (s *Sender) ListNews(entries []Entry, whole, stale bool) {
+// ListNews tells all entries of the list, or those that changed.
+func (s *Sender) ListNews(entries []Entry, whole bool) {
 	s.now = s.h.Now()
-	s.watching = s.watching || !stale
 	for _, e := range s.endpoints {
 		e.listed = e.listed && !whole
 	}
@@ -224,30 +227,29 @@
 			e.listed, e = false, nil
 		}
 		if e == nil {
-			e = &endpoint{id: entry.Endpoint, d: d, route: d.route, limit: firstLimit, coldFrom: -s.cold, toldAt: -quietFor,
-				times: times{mean: s.prior, dev: s.prior, past: s.prior}}
+			e = &endpoint{id: entry.Endpoint, d: d, route: d.route, limit: firstLimit, toldAt: -quietFor,
+				times: times{mean: s.prior, dev: s.prior, past: s.prior}, standing: standing{coldFrom: -s.cold}}
 			if d.kind.Apart {
 				e.route = &route{pace: bucket{unpaced, unpaced, s.now}, lastCut: s.now}
 			}
 			for _, other := range d.ranked {
 				if other.route == e.route && (other.aside && !e.aside || other.coldFrom > e.coldFrom) {
-					s.join(e, other)
+					// Most of a destination may be replaced while it is out: what is new is no warmer than the rest.
+					e.times, e.standing, e.cold = other.times, other.standing, bucket{at: max(s.now, other.cold.at)}
 				}
 			}
 			s.endpoints[e.id], s.signs[signOf(e.id)] = e, e
 			d.ranked = append(d.ranked, e)
 		}
 
-		e.zone, e.listed = entry.Zone, entry.Stage == Ready
+		e.zone, e.listed, e.dear = entry.Zone, entry.Stage == Ready, 1
+		if z := int(e.zone); d.kind.Apart && z >= 0 && z < len(s.fees) {
+			e.dear += feeWeight * s.fees[z]
+		}
 		e.route.rating = entry.Rating * s.ratingPart
 	}
 }
 
-func (s *Sender) ListFailed() {
-	s.now = s.h.Now()
-	s.watching, s.askAt = false, s.now+s.chance.upTo("list", s.askEvery)
-}
-
 func (s *Sender) destination(id DestinationID) *destination {
 	d := s.byID[id]
 	if d == nil {
@@ -298,17 +300,16 @@
 	s.queue(n)
 }
 
-// turnsAway keeps room below MaxOpen: by chance, or where the new one's destination holds much of what is left, that
-// notice goes which earns least for the room and time that it still needs. It tells whether that is the new one.
+// turnsAway keeps room below MaxOpen: by chance, that notice goes which earns least for the room
+// and time that it still needs. It tells whether that is the new one.
 func (s *Sender) turnsAway(n *notice) bool {
 	p := (float64(len(s.held))/float64(s.maxOpen) - crowdFrom) / (1 - crowdFrom)
-	much := float64(n.d.held) > heldMost*float64(s.maxOpen-len(s.held))
-	if !much && (p <= 0 || s.chance.share(string(n.ID)) >= p*(2-n.gain/s.topGain)) {
+	if p <= 0 || s.chance.share(string(n.ID)) >= p*(2-n.gain/s.topGain) {
 		return false
 	}
 	victim, least := n, math.Inf(1)
 	for _, v := range s.held {
-		if v.out == nil && (p > 0 || v.d == n.d) {
+		if v.out == nil {
 			needs := s.needs(v)
 			if earns := s.worth(v, needs) / float64(needs); earns < least || earns == least && v.ID < victim.ID {
 				victim, least = v, earns
@@ -574,7 +575,7 @@
 	case TimedOut, ConnectFailed:
 		if o.Result == ConnectFailed && !s.tellsFull {
 			e.d.kind.short += meanGain * (1 - e.d.kind.short)
-			s.tell(e, 0, false)
+			s.tell(e, 0)
 		}
 		if float64(s.now-c.sentAt) >= 2*s.prior || s.now < s.held[o.Notice].HardStop-2*s.turn { // else cut short
 			s.lost(c)
@@ -582,20 +583,13 @@
 	}
 }
 
-// busy is when one more call would be done, one by one; a refusal costs a wait.
+// busy is when one more call would be done, one by one; a refusal costs a wait. An unseen far one ranks behind, which
+// spreads a fleet over a destination; of routes that answer in time the cheaper ranks first, but no slow one for it.
 func (s *Sender) busy(e *endpoint) float64 {
 	if e.seen == 0 && e.zone != s.zone {
-		return 2 * e.mean * s.dear(e)
+		return 2 * e.mean * e.dear
 	}
-	return (e.mean*float64(1+e.calls) + e.bad*float64(s.base)) / (1 - e.bad) * s.dear(e)
-}
-
-// dear weighs a route's fee against its time: of two that answer in time the cheaper, but no slow one for it.
-func (s *Sender) dear(e *endpoint) float64 {
-	if i := int(e.zone); e.d.kind.Apart && i >= 0 && i < len(s.fees) {
-		return 1 + feeWeight*s.fees[i]
-	}
-	return 1
+	return (e.mean*float64(1+e.calls) + e.bad*float64(s.base)) / (1 - e.bad) * e.dear
 }
 
 // refused tells a limit, which a report shows used up, from a shut destination. With neither report nor wait
@@ -605,7 +599,7 @@
 	r.run++
 	limited := o.Report.Limit > 0 && (o.Report.Left-usedUp)*o.Report.Limit < 1
 	if s.notes && s.now >= halted && (limited || o.Wait > 0 || !e.d.kind.reports) {
-		s.tell(e, o.Wait, o.Wait == 0)
+		s.tell(e, max(o.Wait, noteUnit))
 		s.heed(e, o.Wait)
 	}
 	if o.Wait > 0 {
@@ -714,15 +708,6 @@
 	}
 }
 
-// join makes what is added to a route no warmer and no more certain than the rest of it: most of a destination may
-// be replaced while it is out or cold, and what is new was free of its budget. Harm: one that is well waits for a trial.
-func (s *Sender) join(e, other *endpoint) {
-	s.stir(e.d)
-	e.times, e.aside, e.asideAt, e.failAt = other.times, other.aside, other.asideAt, other.failAt
-	e.step, e.tryAt, e.passed = other.step, other.tryAt, other.passed
-	e.coldFrom, e.coldWas, e.cold = other.coldFrom, other.coldWas, bucket{at: max(s.now, other.cold.at)}
-}
-
 // setAside stops sends to an endpoint whose calls fail, whatever the cause. It comes back by a probe, where
 // the fleet is small, and then a trial call. Harm: a healthy endpoint with two chance failures.
 func (s *Sender) setAside(e *endpoint) {
@@ -745,20 +730,13 @@
 	e.fails, e.aside = 0, false
 }
 
-// Heard takes a note of another sender: of an endpoint alone where a limit was met, with a wait that was told, or with
-// none where no place was found.
+// Heard takes a note of another sender: that a limit was met, or, with no wait, that no place was found.
 func (s *Sender) Heard(note []byte) {
 	s.now = s.h.Now()
-	if len(note) < len(sign{}) {
-		return
-	}
-	switch e := s.signs[sign(note)]; {
-	case e == nil:
-	case len(note) == len(sign{}):
-		s.heed(e, 0)
-	case note[len(sign{})] > 0:
-		s.heed(e, Time(note[len(sign{})])*noteUnit)
-	default:
+	g, wait := read(note)
+	if e := s.signs[g]; e != nil && wait > 0 {
+		s.heed(e, wait)
+	} else if e != nil && wait == 0 {
 		if e.toldAt = s.now; e.calls == 0 && e.linkUntil > s.now {
 			e.linkUntil = s.now
 			s.h.CloseIdle(e.id)
@@ -766,23 +744,18 @@
 	}
 }
 
-// tell tells the others of a limit met, of a wait, or, once in a while, of a place wanted.
-func (s *Sender) tell(e *endpoint, wait Time, met bool) {
-	if !s.notes || wait == 0 && !met && s.now < e.toldAt+quietFor {
-		return
+func (s *Sender) tell(e *endpoint, wait Time) {
+	if s.notes && (wait > 0 || s.now >= e.toldAt+quietFor) {
+		e.toldAt = s.now
+		s.h.Tell(write(e.id, wait))
 	}
-	note := signOf(e.id).bytes()
-	if !met {
-		e.toldAt, note = s.now, append(note, byte(min(255, (wait+noteUnit-1)/noteUnit)))
-	}
-	s.h.Tell(note)
 }
 
 // heed rests a route whose limit a sender of the fleet met, jittered, as what all hold back must not come at once: for as
 // long as its kind usually tells to wait, and longer the sooner it is met again. Harm: one that filled up stays idle.
 func (s *Sender) heed(e *endpoint, wait Time) {
 	r, k := e.route, e.d.kind
-	if wait > 0 && wait < lastGuess/2 {
+	if wait > noteUnit && wait < lastGuess/2 {
 		k.wait += Time(meanGain * float64(wait-k.wait))
 	}
 	if s.now < r.metAt+r.rest/2 {
@@ -893,10 +866,6 @@
 		}
 	}
 	s.stirred = slices.DeleteFunc(s.stirred, s.settled)
-	if s.askEvery > 0 && !s.watching && s.now >= s.askAt {
-		s.h.Watch(true)
-		s.askAt = s.now + s.askEvery
-	}
 }
 
 // settled renews a destination; it tells whether nothing is left to come back for.
--- a/choice/host.go
+++ b/choice/host.go
@@ -86,8 +86,6 @@
 	ConnIdle       Time // the host closes idle connections after this long
 	TellsFull      bool // who has no place for one more connection answers so (Outcome.Closed) in place of failing it
 	Turn           Time // turns come at most this often
-	AskForList     bool
-	AskWithin      Time
 	Rating         Rating
 	FallMultiple   float64
 	Fall           Time
@@ -176,7 +174,6 @@
 	Shed(n NoticeID, comeBackIn Time) // 0 names no time
 	GiveUp(n NoticeID)
 	Probe(e EndpointID)
-	Watch(on bool)
 	CloseIdle(e EndpointID)
 	Tell(note []byte) // to all other senders; it may be lost, and is asked for only where Settings.Notes is set
 	Timer(in Time, id TimerID)
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -97,14 +97,28 @@
 	return max(0, 1-(1-w.LateGain)*late/float64(max(1, w.HardStop-w.ContractTime)))
 }
 
-// sign stands for an endpoint in notes, where each byte is paid for by every sender that hears it.
+// sign stands for an endpoint in notes, which are three bytes long: a sign, and a wait in noteUnits; the shortest one
+// stands for none told.
 type sign [2]byte
 
+const noteUnit = 20 * Millisecond
+
 func signOf(id EndpointID) sign {
 	return sign(binary.LittleEndian.AppendUint32(nil, crc32.ChecksumIEEE([]byte(id)))[:len(sign{})])
 }
 
-func (g sign) bytes() []byte { return g[:] }
+func write(id EndpointID, wait Time) []byte {
+	g := signOf(id)
+	return append(g[:], byte(min(255, (wait+noteUnit-1)/noteUnit)))
+}
+
+// read gives a wait below 0 for what is no note.
+func read(note []byte) (sign, Time) {
+	if len(note) != len(sign{})+1 {
+		return sign{}, -1
+	}
+	return sign(note), Time(note[len(sign{})]) * noteUnit
+}
 
 // luck is by how much two shares of so many draws, alike but for chance, lie apart: one deviation.
 func luck(share, a, b float64) float64 {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -51,7 +51,6 @@
 	OverShareWorth float64
 	Quantum        int64
 	Rules          struct {
-		AskWithin    int64
 		Cold         int64
 		ColdFrom     float64
 		Fall         int64
@@ -111,8 +110,6 @@
 		ConnIdle:       Down(b.Bounds.ConnIdle),
 		TellsFull:      tellsFull,
 		Turn:           Up(b.Quantum),
-		AskForList:     b.Discovery == "on_request",
-		AskWithin:      Down(b.Rules.AskWithin),
 		FallMultiple:   b.Rules.FallMultiple,
 		Fall:           Up(b.Rules.Fall),
 		ColdFrom:       b.Rules.ColdFrom,
--- a/internal/sender/route.go
+++ b/internal/sender/route.go
@@ -89,7 +89,7 @@
 	}
 	s.log.Debug("list", zap.Bool("full", l.Full), zap.Bool("stale", stale), zap.Any("entries", l.Servers))
 	s.listTold = s.listTold || !stale
-	s.module.ListNews(entries, l.Full, stale)
+	s.module.ListNews(entries, l.Full)
 }
 
 func (s *Sender) forget(e *endpoint) {
@@ -160,5 +160,3 @@
 	delete(s.wakes, id)
 }
 
-// Watch has nothing to do: the watch at discovery is held from the start and asked for anew by itself.
-func (s *Sender) Watch(on bool) {}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -122,9 +122,6 @@
 			s.post(func() {
 				s.counts.watchesEnded++
 				s.logEnd("discovery", addr, watchOver, err)
-				if len(s.watches) == 1 && s.watches[0] == stop {
-					s.module.ListFailed()
-				}
 			})
 		})
 }
