--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,8 +1,8 @@
 package choice
 
-// Sender is one sender's decisions. A caller makes one with Start, calls one method for each thing that happens
-// and TurnEnd once all that came in together has been told; the Sender acts by calling its Host, at any time
-// during such a call. host.go holds every type that crosses; docs/design.md gives source and departures.
+// Sender is one sender's decisions. A caller makes one with Start, calls a method for each thing that
+// happens, and TurnEnd once all that came in together is told; it acts by calling its Host meanwhile.
+// host.go holds all types that cross; docs/design.md gives source and departures.
 
 import (
 	"cmp"
@@ -13,52 +13,36 @@
 )
 
 const (
-	baseShare, capShare     = 0.25, 2.0                     // retry ceilings, in shortest contract times
-	meanGain, pastGain      = 0.125, 0.02                   // weights of a new time in the mean, in the past
-	firstTrial, lastTrial   = 300 * Millisecond, 2 * Second // pauses before trials: first, longest
-	loadSpan, fleetLoadSpan = 2 * Second, 5 * Second        // of means of sends, of dones in senders times
-
-	tick          = 50 * Millisecond // renews ranks, finds silence, lets waits end
-	priorShare    = 0.5              // a call's usual time before any was measured, likewise
-	laneShare     = 4                // one slot in so many drains a destination's refused notices
-	feeWeight     = 20.0             // times longer that a route may take, for each notice's worth that its fee is lower
-	patience      = 10.0             // spreads above the mean before a repeatable call is given up
-	finalPatience = 4.0              // times longer where a time-out is final and all slots are free
-	overdueAfter  = 4.0              // times its past before a call out counts as unanswered
-	firstLimit    = 2.0              // calls out that an unknown or returning endpoint may hold
-	failsToAside  = 2                // failures in a row, at least
-	byChance      = 60               // seconds in which chance alone may set an endpoint aside once
-	refusedRun    = 2                // refusals in a row, with nothing done for quietFor, mean shut
-	quietFor      = 2 * Second
-	crowdedFor    = Second / 2         // since something was done, a refusal without a limit is a full queue's
-	usedUp        = 0.3                // share of an allowance left up to which it explains a refusal
-	notedPay      = 0.3                // retries that a call done pays for, where senders hear of one another
-	usedUpFor     = 500 * Millisecond  // a limit met is left alone in a fleet that tells of it
-	longWait      = 2500 * Millisecond // told waits above this come from a shut destination
-	keptMost      = 0.05               // share reset on kept links from which single-use notices get new ones
-	doubtRun      = 6                  // calls done after an unanswered one before single-use notices go there
-	blinkFor      = 1500 * Millisecond // between answers: too short for an outage with a cold start
-	lastGuess     = 8 * Second         // longest wait assumed where refusals tell none
-	coldPart      = 1.2                // times its known part: a limit or own throughput lies under the capacity
-
-	smallFleet = 8    // senders up to which each may probe and try every endpoint of a route
-	coldFloor  = 1.0  // calls a cold time that a sender may make whatever it knows
-	handful    = 4.0  // calls of all senders in the span of the rule that fell nothing
-	rideWeight = 0.15 // what a further notice in a call weighs on a cold destination
-	paceCut    = 0.5  // of the pace or rate that met refusals, at least; half of it beyond a handful
-
-	toleratedShare = 0.02 // of calls refused, the price of using all room
-	noiseTold      = 3.0  // deviations between what a limit and what noise would leave, to tell them
-	nearLoad       = 0.95 // of what was counted before that still counts, and of a load: the same
-	topFor         = 10.0 // seconds over which the highest load fades: a lull is no measure for a cut
-	mostNoise      = 0.25 // share of calls that may be refused whatever the load
-	callsToJudge   = 16   // under so many answered, a refusal means a limit
-	leastPace      = 0.6  // calls a second of all senders together
-	unpaced        = 1e6  // calls a second while no limit was met
-	paceGrow       = 0.05 // a second
-	closeMore      = 30.0 // own calls due while a link would idle, a share of failures, to keep it
-	shareSpan      = 30.0 // seconds of an account's share that may come at once: a sender's part of it is few notices
-	crowdFrom      = 0.85 // share of MaxOpen from which notices are turned away by chance
+	firstTrial, lastTrial   = 300 * Millisecond, 2 * Second    // pauses before trials: first, longest
+	loadSpan, fleetLoadSpan = 2 * Second, 5 * Second           // of means of sends
+	quietFor, crowdedFor    = 2 * Second, Second / 2           // done lately; so lately that the queue is full
+	longWait, longestUsedUp = 2500 * Millisecond, 4 * Second   // told: the shut's above; used-up limits' up to
+	tick, blinkFor          = 50 * Millisecond, 3 * Second / 2 // between answers, too short for a cold start
+	usedUpFor               = 500 * Millisecond                // rest of a used-up route, until waits are told
+
+	baseShare, capShare     = 0.25, 2.0   // retry ceilings, in shortest contract times
+	meanGain, pastGain      = 0.125, 0.02 // weights of a new time in the mean, in the past
+	patience, finalPatience = 10.0, 4.0   // spreads above the mean; times longer where a time-out is final
+	usedUp                  = 0.3         // share of an allowance left up to which it explains a refusal
+	priorShare, firstLimit  = 0.5, 2.0    // before any call: its time in contract times; calls out at once
+	failsToAside, byChance  = 2, 60       // failures in a row, at least; seconds between asides by chance alone
+	refusedRun, doubtRun    = 2, 6        // refusals in a row; calls done before single-use notices go again
+	toleratedShare          = 0.02        // of calls refused, the price of using all room
+	mostNoise, noiseTold    = 0.25, 3.0   // share refused whatever the load; deviations that tell it
+	nearLoad, topFor        = 0.95, 10.0  // share that still counts as the same; seconds a load is kept
+	leastPace, unpaced      = 0.6, 1e6    // calls a second: of all senders together; while no limit was met
+	paceCut, paceGrow       = 0.5, 0.05   // to which part at least, half beyond a handful; growth a second
+	callsToJudge, handful   = 16, 4.0     // under so many, a refusal is a limit's; calls that fell nothing
+	coldFloor, coldPart     = 1.0, 1.2    // calls a cold time, whatever is known; times the part that is
+	smallFleet              = 8           // senders up to which each may probe and try every endpoint
+	rideWeight              = 0.15        // what a further notice in a call weighs on a cold destination
+	laneShare               = 4           // one slot in so many drains a destination's refused notices
+	notedPay                = 0.3         // retries that a call done pays for, where notes go round
+	feeWeight               = 20.0        // times longer that a route may take for each notice's worth of fee
+	overdueAfter            = 4.0         // times its past before a call out counts as unanswered
+	keptMost, closeMore     = 0.05, 30.0  // resets on kept links; own calls due to keep one, a share of failures
+	shareSpan               = 30.0        // seconds of an account's share that may come at once
+	crowdFrom               = 0.85        // share of MaxOpen from which notices are turned away by chance
 )
 
 const tickTimer TimerID = 0 // the others stand for notices
@@ -109,13 +93,13 @@
 
 // route is what limits, waits and returns count for: a destination, or an endpoint that is a route apart.
 type route struct {
-	pace                                             bucket
-	load, good                                       meter // own calls sent, and done
-	done, peak, rating, limit                        float64
-	seen, full, top                                  float64 // calls answered and refused since slowDown judged, highest load
-	wasShare, wasLoad, wasSeen, noise                float64 // of the last other load, and the share believed to stay
-	haltUntil, lastGood, lastCut, guess, metAt, rest Time
-	fails, run                                       int // failures and refusals since something was done
+	pace                                      bucket
+	load                                      meter // own calls sent
+	rating, limit                             float64
+	seen, full, top                           float64 // calls and refusals since slowDown judged, highest load
+	wasShare, wasLoad, wasSeen, noise         float64 // of the last other load, and the share believed to stay
+	haltUntil, lastGood, lastCut, metAt, rest Time
+	fails, run                                int // failures and refusals since something was done
 }
 
 type endpoint struct {
@@ -158,8 +142,7 @@
 	zone                                                                          ZoneNo
 	slots, laneMax, maxOpen, maxTries, turns                                      int
 	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare, kept, pay float64 // kept: see learn
-	now, born, base, cap, turn, cold, fall, loadSpan, keyRest, connIdle           Time
-	longest                                                                       Time // 0 for none
+	now, born, base, cap, turn, cold, fall, loadSpan, keyRest, connIdle, longest  Time    // longest: 0 for none
 	probes, halving, tellsFull, notes                                             bool
 	lastTimer                                                                     TimerID
 
@@ -187,11 +170,9 @@
 		held: map[NoticeID]*notice{}, timers: map[TimerID]*notice{},
 		lines: map[OrderKey]*keyLine{}, byID: map[DestinationID]*destination{},
 		endpoints: map[EndpointID]*endpoint{}, tellsFull: set.TellsFull,
-		signs: map[sign]*endpoint{}, notes: set.Notes && set.Senders > smallFleet, pay: 1,
-	}
-	if s.notes {
-		s.pay = notedPay
+		signs: map[sign]*endpoint{}, notes: set.Notes && set.Senders > smallFleet,
 	}
+	s.pay = [...]float64{1, notedPay}[int(one(s.notes))]
 	s.ratingPart = [...]float64{0, 1 / 1.5, 1}[set.Rating] / s.senders // a rough one may be half too high
 	shortest := Time(math.MaxInt64)
 	for _, w := range set.Workloads {
@@ -201,7 +182,8 @@
 	s.base, s.cap = max(1, Time(baseShare*float64(shortest))), max(1, Time(capShare*float64(shortest)))
 	s.prior = max(1, priorShare*float64(shortest))
 	for _, k := range set.Kinds {
-		s.kinds = append(s.kinds, kind{Kind: k, wait: usedUpFor, again: bucket{1 / seconds(s.cap), float64(s.laneMax), s.now}})
+		again := bucket{1 / seconds(s.cap), float64(s.laneMax), s.now}
+		s.kinds = append(s.kinds, kind{Kind: k, wait: usedUpFor, again: again})
 	}
 	for _, q := range set.Quotas {
 		s.shares = append(s.shares, bucket{q / s.senders, shareSpan * q / s.senders, s.now})
@@ -232,6 +214,10 @@
 			if d.kind.Apart {
 				e.route = &route{pace: bucket{unpaced, unpaced, s.now}, lastCut: s.now}
 			}
+			if l := entry.Learnt; l != nil {
+				e.times, e.route.limit = times{l.Mean, l.Dev, l.Past, l.Seen}, l.Limit
+				e.route.haltUntil = max(e.route.haltUntil, s.now+l.Wait)
+			}
 			for _, other := range d.ranked {
 				if other.route == e.route && (other.aside && !e.aside || other.coldFrom > e.coldFrom) {
 					// Most of a destination may be replaced while it is out: what is new is no warmer than the rest.
@@ -272,9 +258,8 @@
 
 func (s *Sender) Taken(in Notice) {
 	s.now = s.h.Now()
-	w := &s.workloads[in.Workload]
-	n := &notice{Notice: in, w: w, d: s.destination(in.Destination), gain: w.Gain}
-	n.born = in.HardStop - w.HardStop
+	w, d := &s.workloads[in.Workload], s.destination(in.Destination)
+	n := &notice{Notice: in, w: w, d: d, gain: w.Gain, born: in.HardStop - w.HardStop}
 	if a := int(in.Account); a >= 0 && a < len(s.shares) && !s.shares[a].take(s.now, shareSpan) {
 		n.gain *= s.overGain
 	}
@@ -292,20 +277,20 @@
 			s.wake(n, n.line.restUntil)
 		}
 	}
-	if s.now > s.lastSend(n) || n.MayRun && w.Repeat == SingleUse || s.turnsAway(n) {
+	if s.now > s.lastSend(n) || n.MayRun && w.Repeat == SingleUse {
 		s.finish(n)
-		return
+	} else if s.keepRoom(n); !n.over {
+		s.wake(n, s.lastSend(n)+1)
+		s.queue(n)
 	}
-	s.wake(n, s.lastSend(n)+1)
-	s.queue(n)
 }
 
-// turnsAway keeps room below MaxOpen: by chance, that notice goes which earns least for the room
-// and time that it still needs. It tells whether that is the new one.
-func (s *Sender) turnsAway(n *notice) bool {
+// keepRoom keeps room below MaxOpen: by chance, that notice goes, a new one or another, which earns least for
+// the room and time that it still needs.
+func (s *Sender) keepRoom(n *notice) {
 	p := (float64(len(s.held))/float64(s.maxOpen) - crowdFrom) / (1 - crowdFrom)
 	if p <= 0 || s.chance.share(string(n.ID)) >= p*(2-n.gain/s.topGain) {
-		return false
+		return
 	}
 	victim, least := n, math.Inf(1)
 	for _, v := range s.held {
@@ -316,14 +301,11 @@
 			}
 		}
 	}
-	if victim != n {
-		s.finish(victim)
-	}
-	return victim == n
+	s.finish(victim)
 }
 
-// needs is for how long a notice will take up room: behind those of its key, through waits, and through an outage
-// that lasts as long again as it has.
+// needs is for how long a notice will take up room: behind those of its key, through waits, and through an
+// outage that lasts as long again as it has.
 func (s *Sender) needs(n *notice) Time {
 	ahead, out := 1, Time(math.MaxInt64)
 	if n.line != nil {
@@ -397,16 +379,12 @@
 func (s *Sender) Withdrawn(id NoticeID) {
 	s.now = s.h.Now()
 	if n := s.held[id]; n != nil {
-		n.over = true
-		s.unqueue(n)
 		s.release(n)
 	}
 }
 
 // finish answers a notice: shed where every dispatch is proven never to have run, else given up.
 func (s *Sender) finish(n *notice) {
-	n.over = true
-	s.unqueue(n)
 	if n.MayRun || n.out != nil {
 		s.h.GiveUp(n.ID)
 	} else {
@@ -416,7 +394,8 @@
 }
 
 func (s *Sender) release(n *notice) {
-	if n.out != nil {
+	n.over = true
+	if s.unqueue(n); n.out != nil {
 		return
 	}
 	delete(s.held, n.ID)
@@ -424,7 +403,6 @@
 		delete(s.timers, id)
 		s.h.Forget(id)
 	}
-	n.wakes = nil
 	n.d.held--
 	s.stir(n.d)
 	if line := n.line; line != nil {
@@ -449,11 +427,11 @@
 }
 
 func (s *Sender) haltEnd(d *destination) Time {
-	end := Time(math.MaxInt64)
+	end := max(d.route.haltUntil, s.now)
 	for _, e := range d.ranked {
 		end = min(end, e.route.haltUntil)
 	}
-	return min(end, max(d.route.haltUntil, s.now))
+	return end
 }
 
 func (s *Sender) Ended(o Outcome) {
@@ -501,18 +479,16 @@
 	ceiling := min(s.cap, s.base<<min(n.tries-1, 20))
 	n.dueAt = min(s.now+s.chance.upTo(string(n.ID), ceiling), last)
 	s.wake(n, n.dueAt)
-	s.wake(n, last+1)
 }
 
 func (s *Sender) hangUp(c *call) {
-	c.e.calls, c.e.linkUntil = c.e.calls-1, s.now+s.connIdle
+	c.e.calls, c.e.linkUntil, c.e.d.laneOut = c.e.calls-1, s.now+s.connIdle, c.e.d.laneOut-int(one(c.lane))
 	s.spare(c.e)
-	c.e.d.laneOut -= int(one(c.lane))
 	s.calls = slices.DeleteFunc(s.calls, func(other *call) bool { return other == c })
 }
 
-// spare closes idle links, also where what waits may not go yet. Those of a fleet fill a destination's table: the
-// more connections of its kind fail, the oftener one must be used to stay. Those to other zones stay, being dear.
+// spare closes idle links, also where what waits may not go yet. Those of a fleet fill tables: the more
+// connections of their kind fail, the oftener one must be used to stay.
 func (s *Sender) spare(e *endpoint) {
 	use := e.used.read(s.now, loadSpan*Time(s.senders)) * seconds(s.connIdle)
 	idle := e.calls == 0 && (e.d.waiting == 0 || !e.route.ready(s.now) || !s.coldReady(e))
@@ -542,17 +518,14 @@
 	r.seen++
 	full := one(o.Result == Full)
 	e.asked, e.full, e.bad = e.asked+1, e.full+full, e.bad+meanGain*(full-e.bad)
-	if !e.aside {
-		e.wrong += pastGain * (1 - full) * (one(o.Result != Done) - e.wrong)
-	}
+	e.wrong += one(!e.aside) * pastGain * (1 - full) * (one(o.Result != Done) - e.wrong)
 	s.kept += one(o.Kept) * meanGain * (one(o.Result == Reset) - s.kept)
 	switch o.Result {
 	case Done:
 		e.measure(float64(o.Took), meanGain, pastGain)
 		e.d.kind.short *= 1 - meanGain*one(c.fresh)
-		r.done, e.d.again.level = r.done+1, e.d.again.level+s.pay
-		r.good.count(s.now, loadSpan*Time(s.senders))
-		r.peak, e.fails, r.fails, r.run, r.guess = max(r.peak, r.good.rate), 0, 0, 0, 0
+		e.d.again.level += s.pay
+		e.fails, r.fails, r.run = 0, 0, 0
 		e.doubt = max(0, e.doubt-1)
 		r.pace.rate = max(r.pace.rate, r.limit/s.senders*one(o.Report.Left > usedUp)) // it has filled up again
 		if e.aside {
@@ -583,8 +556,8 @@
 	}
 }
 
-// busy is when one more call would be done, one by one; a refusal costs a wait. An unseen far one ranks behind, which
-// spreads a fleet over a destination; of routes that answer in time the cheaper ranks first, but no slow one for it.
+// busy is when one more call would be done, one by one; a refusal costs a wait. An unseen far one ranks
+// behind, which spreads a fleet over a destination; a route's fee counts as time.
 func (s *Sender) busy(e *endpoint) float64 {
 	if e.seen == 0 && e.zone != s.zone {
 		return 2 * e.mean * e.dear
@@ -592,8 +565,7 @@
 	return (e.mean*float64(1+e.calls) + e.bad*float64(s.base)) / (1 - e.bad) * e.dear
 }
 
-// refused tells a limit, which a report shows used up, from a shut destination. With neither report nor wait
-// told, a run with nothing done has one guessed, doubling. Harm: a very low limit not reported.
+// refused tells a limit, which a report shows used up, from a shut destination.
 func (s *Sender) refused(c *call, o Outcome) {
 	e, r, halted := c.e, c.e.route, c.e.route.haltUntil
 	r.run++
@@ -612,20 +584,15 @@
 		return
 	} else if e.aside || e.d.kind.reports {
 		s.failed(e, o.Report.Limit)
-	} else if o.Wait == 0 && r.run >= refusedRun && s.now-r.lastGood > quietFor && s.now >= r.haltUntil {
-		r.guess = min(lastGuess, max(firstTrial, 2*r.guess))
-		// As if told: with no wait to heed, refusals alone would keep the limit used up.
-		s.halt(e, r.guess/2+s.chance.upTo(string(e.id), r.guess/2), false)
 	}
 	if o.Wait == 0 || s.now-halted <= quietFor { // a wait that comes anew is heeded, and that is enough
 		s.slowDown(e.d, r)
 	}
 }
 
-// slowDown answers the share of calls refused since it last judged, once a second at most, in proportion, from
-// the highest load of late, against single refusals that cripple a busy route. A share that stays when there is
-// less load is noise, once luck does not explain it, and some refusals are the price of using all room. Harm: a
-// limit told nowhere is met oftener, and of few calls nothing can be told.
+// slowDown answers the share of calls refused since it last judged, once a second at most, in proportion,
+// from the highest load of late. A share that stays when there is less load is noise, once luck does not
+// explain it. Harm: a limit told nowhere is met oftener, and of few calls nothing can be told.
 func (s *Sender) slowDown(d *destination, r *route) {
 	if r.full++; s.now-r.lastCut <= Second {
 		return
@@ -649,9 +616,7 @@
 	}
 	r.noise += meanGain * min(0, share-r.noise)
 	over := share - max(toleratedShare, r.noise+2*math.Sqrt(r.noise*(1-r.noise)/seen))
-	if s.senders > smallFleet && r.seen < callsToJudge {
-		over = 1
-	}
+	over = max(over, one(s.senders > smallFleet && r.seen < callsToJudge))
 	r.lastCut, r.seen, r.full = s.now, 0, 0
 	if over > 0 {
 		r.pace.level = min(0, r.pace.level)
@@ -695,9 +660,10 @@
 
 func (s *Sender) failed(e *endpoint, limit float64) {
 	e.fails, e.route.fails = e.fails+1, e.route.fails+1
-	// One failure is enough where nothing was answered lately: a large fleet seldom sees two. Two of a route
-	// are all of it, or each sender would push at every endpoint in turn. Of many calls some fail by chance.
-	run := math.Log(byChance*e.used.read(s.now, loadSpan*Time(s.senders))) / -math.Log(max(toleratedShare, e.wrong))
+	// One is enough where nothing was answered lately, as a large fleet seldom sees two, and two of a route are
+	// all of it, or each sender would push at every endpoint in turn. Of many calls some fail by chance.
+	used := e.used.read(s.now, loadSpan*Time(s.senders))
+	run := math.Log(byChance*used) / -math.Log(max(toleratedShare, e.wrong))
 	if e.aside || e.fails >= max(failsToAside, int(math.Ceil(run))) || limit == 0 && s.now-e.goodAt > quietFor {
 		all := s.senders > smallFleet && e.route.fails >= failsToAside && s.now-e.route.lastGood > quietFor
 		for _, other := range e.d.ranked {
@@ -730,6 +696,15 @@
 	e.fails, e.aside = 0, false
 }
 
+// Learnt is what means the same in another life and fleet: what calls take, a limit told, a wait not over.
+// Paces, budgets, links and standing depend on who else sends, or on the moment.
+func (s *Sender) Learnt(id EndpointID) (l Learnt) {
+	if e := s.endpoints[id]; e != nil {
+		l = Learnt{e.mean, e.dev, e.past, e.seen, e.route.limit, max(0, e.route.haltUntil-s.h.Now())}
+	}
+	return l
+}
+
 // Heard takes a note of another sender: that a limit was met, or, with no wait, that no place was found.
 func (s *Sender) Heard(note []byte) {
 	s.now = s.h.Now()
@@ -751,19 +726,16 @@
 	}
 }
 
-// heed rests a route whose limit a sender of the fleet met, jittered, as what all hold back must not come at once: for as
-// long as its kind usually tells to wait, and longer the sooner it is met again. Harm: one that filled up stays idle.
+// heed rests a route whose limit a sender of the fleet met, jittered, as what all hold back must not come at
+// once: as long as its kind usually tells to wait, longer the sooner it is met again. Harm: room lies idle.
 func (s *Sender) heed(e *endpoint, wait Time) {
 	r, k := e.route, e.d.kind
-	if wait > noteUnit && wait < lastGuess/2 {
+	if wait > noteUnit && wait < longestUsedUp {
 		k.wait += Time(meanGain * float64(wait-k.wait))
 	}
 	if s.now < r.metAt+r.rest/2 {
 		return
-	}
-	if s.now < r.metAt+2*r.rest {
-		r.rest = min(max(Second, 2*k.wait), r.rest+r.rest/2)
-	} else {
+	} else if r.rest = min(max(Second, 2*k.wait), r.rest+r.rest/2); s.now >= r.metAt+2*r.rest {
 		r.rest = k.wait
 	}
 	r.metAt = s.now
@@ -787,8 +759,6 @@
 
 // chill starts a cold budget: two senders may begin at once, those of a fleet each by chance.
 func (s *Sender) chill(e *endpoint, from Time) {
-	// The own rate is that before the outage: a mean with the outage in it would starve what returns.
-	e.route.peak = max(e.route.peak, e.route.done/seconds(max(s.cold/8, s.now-s.born)))
 	e.limit, e.mean, e.coldFrom, e.cold.at = firstLimit, e.past, from, max(from, s.now)
 	e.cold.level = 1 - s.chance.share(string(e.id))*max(0, 1-2/s.senders)
 }
@@ -798,17 +768,10 @@
 	if !e.aside && s.now >= e.coldFrom+s.cold {
 		return true
 	}
-	ends := 1
-	if e.route == e.d.route {
-		ends = len(e.d.ranked)
-	}
-	warm := s.coldShare
-	if !e.aside {
-		warm += (1 - warm) * float64(s.now-e.coldFrom) / float64(s.cold)
-	}
-	// The route's limit as this sender's part in calls a second: by report, rating or own past.
-	known := max(max(leastPace, e.route.limit)/s.senders, e.route.rating, e.route.peak)
-	e.cold.rate = max(coldFloor/seconds(s.cold), s.fallRate*warm*known) / float64(ends)
+	ends := 1 + one(e.route == e.d.route)*float64(len(e.d.ranked)-1)
+	warm := s.coldShare + one(!e.aside)*(1-s.coldShare)*float64(s.now-e.coldFrom)/float64(max(1, s.cold))
+	known := max(max(leastPace, e.route.limit)/s.senders, e.route.rating)
+	e.cold.rate = max(coldFloor/seconds(s.cold), s.fallRate*warm*known) / ends
 	// The call that a bucket holds counts too, where few share much; of a large fleet's few are full at once.
 	if span := seconds(s.fall); s.senders <= smallFleet && e.cold.rate*s.senders*span > handful {
 		e.cold.rate = max(handful/s.senders/span, e.cold.rate-1/span)
@@ -818,7 +781,7 @@
 
 func (r *route) ready(now Time) bool {
 	// Room is tried again little by little, and faster the longer and the more calls show that there is some.
-	faster := max(0, min(seconds(now-r.lastCut-3*Second)/2, r.seen/(2*callsToJudge))) + one(r.pace.rate < r.peak/2)
+	faster := max(0, min(seconds(now-r.lastCut-3*Second)/2, r.seen/(2*callsToJudge)))
 	r.pace.rate = min(unpaced, r.pace.rate*math.Exp(paceGrow*(1+faster)*seconds(now-r.pace.at)))
 	return now >= r.haltUntil && r.pace.fill(now, max(1, r.pace.rate/2)) >= 1
 }
@@ -836,7 +799,12 @@
 	s.now = s.h.Now()
 	if id == tickTimer {
 		s.h.Timer(tick, tickTimer)
-		s.renew()
+		for _, c := range s.calls {
+			if float64(s.now-c.sentAt) > max(2*s.prior, overdueAfter*c.e.past) {
+				s.lost(c)
+			}
+		}
+		s.stirred = slices.DeleteFunc(s.stirred, s.settled)
 		return
 	}
 	n := s.timers[id]
@@ -859,15 +827,6 @@
 	}
 }
 
-func (s *Sender) renew() {
-	for _, c := range s.calls {
-		if float64(s.now-c.sentAt) > max(2*s.prior, overdueAfter*c.e.past) {
-			s.lost(c)
-		}
-	}
-	s.stirred = slices.DeleteFunc(s.stirred, s.settled)
-}
-
 // settled renews a destination; it tells whether nothing is left to come back for.
 func (s *Sender) settled(d *destination) bool {
 	d.ranked = slices.DeleteFunc(d.ranked, func(e *endpoint) bool {
@@ -885,8 +844,7 @@
 	for _, e := range d.ranked {
 		due := s.now >= max(e.tryAt, e.route.haltUntil)
 		if e.aside && !e.passed && e.listed && !e.probing && due && s.coldReady(e) {
-			e.probing = true
-			e.cold.level--
+			e.probing, e.cold.level = true, e.cold.level-1
 			s.h.Probe(e.id)
 		}
 		d.stirred = d.stirred || e.aside || !e.listed
@@ -925,8 +883,8 @@
 	return best, to
 }
 
-// Open tells whether a dispatch may still leave once its connection is up: a wait or a drain may have come, or
-// the time be over in which a tokened notice that may have run is known.
+// Open tells whether a dispatch may still leave once its connection is up: a wait or a drain may have come,
+// or the time be over in which a tokened notice that may have run is known.
 func (s *Sender) Open(id EndpointID, notices ...NoticeID) bool {
 	e, now := s.endpoints[id], s.h.Now()
 	late := func(id NoticeID) bool {
@@ -950,10 +908,7 @@
 		switch {
 		case rideOnly || len(s.calls) >= s.slots || n.tries > 0 && n.d.again.fill(s.now, float64(s.slots)) < 1:
 		case e.aside:
-			wait := e.tryAt
-			if n.w.Repeat == SingleUse {
-				wait += 2 * lastTrial
-			}
+			wait := e.tryAt + Time(one(n.w.Repeat == SingleUse))*2*lastTrial
 			if e.passed && s.now >= wait && trial == nil && (s.probes || s.coldReady(e)) {
 				trial = e
 			}
@@ -978,8 +933,7 @@
 	if c == nil || c.turn != s.turns || c.n >= n.d.kind.BundleMax {
 		c = &call{e: e, sentAt: s.now, turn: s.turns, lane: lane, fresh: e.calls == 0 && s.now >= e.linkUntil}
 		n.d.laneOut, n.d.again.level = n.d.laneOut+int(one(lane)), n.d.again.level-one(n.tries > 0)
-		e.open, e.calls, e.cold.level = c, e.calls+1, e.cold.level-1
-		e.route.pace.level--
+		e.open, e.calls, e.cold.level, e.route.pace.level = c, e.calls+1, e.cold.level-1, e.route.pace.level-1
 		e.route.load.count(s.now, s.loadSpan)
 		if e.aside {
 			e.passed, e.tryAt = !s.probes, s.now+2*e.step
@@ -989,17 +943,14 @@
 	} else {
 		e.cold.level -= rideWeight
 	}
-	c.n, c.left = c.n+1, c.left+1
-	n.out, n.sentAt, n.tries = c, s.now, n.tries+1
+	c.n, c.left, n.out, n.sentAt, n.tries = c.n+1, c.left+1, c, s.now, n.tries+1
 	s.h.Dispatch(n.ID, e.id, s.timeOut(n, e))
 }
 
 func (s *Sender) timeOut(n *notice, e *endpoint) Time {
-	usual := max(2*s.prior, e.mean+patience*e.dev)
+	usual, longer := max(2*s.prior, e.mean+patience*e.dev), float64(n.tries)
 	if n.w.Repeat == SingleUse {
-		usual *= 1 + (finalPatience-1)*float64(s.slots-len(s.calls))/float64(s.slots)
-	} else {
-		usual *= float64(n.tries)
+		longer = 1 + (finalPatience-1)*float64(s.slots-len(s.calls))/float64(s.slots)
 	}
-	return max(1, min(Time(math.Ceil(usual)), n.HardStop-s.now-s.turn))
+	return max(1, min(Time(math.Ceil(usual*longer)), n.HardStop-s.now-s.turn))
 }
--- a/choice/host.go
+++ b/choice/host.go
@@ -114,6 +114,15 @@
 	Zone        ZoneNo
 	Rating      float64
 	Stage       Stage
+	Learnt      *Learnt // of an earlier life, where there is any; read when the endpoint is new
+}
+
+// Learnt is what an earlier life knew of an endpoint and still holds: the times of calls there in tenths of a
+// millisecond (mean and spread of late, long mean, how many), the limit last told, and what is left of a wait.
+type Learnt struct {
+	Mean, Dev, Past, Seen float64
+	Limit                 float64
+	Wait                  Time
 }
 
 // Notice is one notice as it was taken.
--- a/choice/limits_test.go
+++ b/choice/limits_test.go
@@ -174,7 +174,7 @@
 	for _, rate := range []int{1, 100, 5000} {
 		d := open(plain())
 		r := d.s.byID[1].route
-		r.peak, r.pace.rate, r.pace.level, r.lastCut = float64(rate), float64(rate)/2, 0, 0
+		r.pace.rate, r.pace.level, r.lastCut = float64(rate)/2, 0, 0
 		now := Time(0)
 		for r.pace.rate < float64(rate) {
 			now += Second / Time(2*rate)
