--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,7 +16,7 @@
 	firstTrial, lastTrial   = 300 * Millisecond, 2 * Second    // pauses before trials: first, longest
 	loadSpan, fleetLoadSpan = 2 * Second, 5 * Second           // of means of sends
 	quietFor, crowdedFor    = 2 * Second, Second / 2           // done lately; so lately that the queue is full
-	longWait, longestUsedUp = 2500 * Millisecond, 4 * Second   // told: the shut's above; used-up limits' up to
+	longWait, lastGuess     = 2500 * Millisecond, 8 * Second   // told by the shut, above; longest one guessed
 	tick, blinkFor          = 50 * Millisecond, 3 * Second / 2 // between answers, too short for a cold start
 	usedUpFor               = 500 * Millisecond                // rest of a used-up route, until waits are told
 
@@ -93,13 +93,13 @@
 
 // route is what limits, waits and returns count for: a destination, or an endpoint that is a route apart.
 type route struct {
-	pace                                      bucket
-	load                                      meter // own calls sent
-	rating, limit                             float64
-	seen, full, top                           float64 // calls and refusals since slowDown judged, highest load
-	wasShare, wasLoad, wasSeen, noise         float64 // of the last other load, and the share believed to stay
-	haltUntil, lastGood, lastCut, metAt, rest Time
-	fails, run                                int // failures and refusals since something was done
+	pace                                             bucket
+	load, good                                       meter // own calls sent, and done
+	rating, limit, peak                              float64
+	seen, full, top                                  float64 // since slowDown judged; highest load
+	wasShare, wasLoad, wasSeen, noise                float64 // of the last other load; what stays
+	haltUntil, lastGood, lastCut, guess, metAt, rest Time
+	fails, run                                       int // failures and refusals since something was done
 }
 
 type endpoint struct {
@@ -133,18 +133,18 @@
 }
 
 type Sender struct {
-	h                                                                             Host
-	chance                                                                        chance
-	workloads                                                                     []Workload
-	kinds                                                                         []kind
-	shares                                                                        []bucket  // by account
-	fees                                                                          []float64 // by zone
-	zone                                                                          ZoneNo
-	slots, laneMax, maxOpen, maxTries, turns                                      int
-	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare, kept, pay float64 // kept: see learn
-	now, born, base, cap, turn, cold, fall, loadSpan, keyRest, connIdle, longest  Time    // longest: 0 for none
-	probes, halving, tellsFull, notes                                             bool
-	lastTimer                                                                     TimerID
+	h                                                                            Host
+	chance                                                                       chance
+	workloads                                                                    []Workload
+	kinds                                                                        []kind
+	shares                                                                       []bucket  // by account
+	fees                                                                         []float64 // by zone
+	zone                                                                         ZoneNo
+	slots, laneMax, maxOpen, maxTries, turns                                     int
+	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare, kept     float64 // kept: see learn
+	now, born, base, cap, turn, cold, fall, loadSpan, keyRest, connIdle, longest Time    // longest: 0 for none
+	probes, halving, tellsFull, notes                                            bool
+	lastTimer                                                                    TimerID
 
 	held      map[NoticeID]*notice           // emptied as notices end
 	timers    map[TimerID]*notice            // emptied as each fires or its notice is released
@@ -172,7 +172,6 @@
 		endpoints: map[EndpointID]*endpoint{}, tellsFull: set.TellsFull,
 		signs: map[sign]*endpoint{}, notes: set.Notes && set.Senders > smallFleet,
 	}
-	s.pay = [...]float64{1, notedPay}[int(one(s.notes))]
 	s.ratingPart = [...]float64{0, 1 / 1.5, 1}[set.Rating] / s.senders // a rough one may be half too high
 	shortest := Time(math.MaxInt64)
 	for _, w := range set.Workloads {
@@ -215,8 +214,8 @@
 				e.route = &route{pace: bucket{unpaced, unpaced, s.now}, lastCut: s.now}
 			}
 			if l := entry.Learnt; l != nil {
-				e.times, e.route.limit = times{l.Mean, l.Dev, l.Past, l.Seen}, l.Limit
-				e.route.haltUntil = max(e.route.haltUntil, s.now+l.Wait)
+				e.times = [...]times{e.times, {l.Mean, l.Dev, l.Past, l.Seen}}[int(one(l.Seen > 0))]
+				e.route.limit, e.route.haltUntil = l.Limit, max(e.route.haltUntil, s.now+l.Wait)
 			}
 			for _, other := range d.ranked {
 				if other.route == e.route && (other.aside && !e.aside || other.coldFrom > e.coldFrom) {
@@ -524,9 +523,9 @@
 	case Done:
 		e.measure(float64(o.Took), meanGain, pastGain)
 		e.d.kind.short *= 1 - meanGain*one(c.fresh)
-		e.d.again.level += s.pay
-		e.fails, r.fails, r.run = 0, 0, 0
-		e.doubt = max(0, e.doubt-1)
+		e.d.again.level += [...]float64{1, notedPay}[int(one(s.notes))]
+		r.good.count(s.now, loadSpan*Time(s.senders))
+		r.peak, r.fails, r.run, r.guess, e.fails, e.doubt = max(r.peak, r.good.rate), 0, 0, 0, 0, max(0, e.doubt-1)
 		r.pace.rate = max(r.pace.rate, r.limit/s.senders*one(o.Report.Left > usedUp)) // it has filled up again
 		if e.aside {
 			s.comeBack(e, c.sentAt)
@@ -565,7 +564,8 @@
 	return (e.mean*float64(1+e.calls) + e.bad*float64(s.base)) / (1 - e.bad) * e.dear
 }
 
-// refused tells a limit, which a report shows used up, from a shut destination.
+// refused tells a limit, which a report shows used up, from a shut destination. With neither report nor wait
+// told, a run with nothing done has one guessed, doubling. Harm: a very low limit not reported.
 func (s *Sender) refused(c *call, o Outcome) {
 	e, r, halted := c.e, c.e.route, c.e.route.haltUntil
 	r.run++
@@ -584,6 +584,9 @@
 		return
 	} else if e.aside || e.d.kind.reports {
 		s.failed(e, o.Report.Limit)
+	} else if o.Wait == 0 && r.run >= refusedRun && s.now-r.lastGood > quietFor && s.now >= r.haltUntil {
+		r.guess = min(lastGuess, max(firstTrial, 2*r.guess))
+		s.halt(e, r.guess/2+s.chance.upTo(string(e.id), r.guess/2), false)
 	}
 	if o.Wait == 0 || s.now-halted <= quietFor { // a wait that comes anew is heeded, and that is enough
 		s.slowDown(e.d, r)
@@ -605,7 +608,6 @@
 	both := (share*seen + r.wasShare*r.wasSeen) / (seen + r.wasSeen)
 	told := r.wasShare-limited > noiseTold*luck(both, seen, r.wasSeen)
 	if told && share > (limited+r.wasShare)/2 {
-		// Less load and no fewer refusals: it was noise, and what was cut for it is given back.
 		r.noise, load = max(r.noise, min(mostNoise, r.wasShare, share)), r.wasLoad
 		r.pace.rate = max(r.pace.rate, load)
 	}
@@ -696,8 +698,7 @@
 	e.fails, e.aside = 0, false
 }
 
-// Learnt is what means the same in another life and fleet: what calls take, a limit told, a wait not over.
-// Paces, budgets, links and standing depend on who else sends, or on the moment.
+// Learnt is what means the same in another life or fleet: what calls take, a limit told, a wait not over.
 func (s *Sender) Learnt(id EndpointID) (l Learnt) {
 	if e := s.endpoints[id]; e != nil {
 		l = Learnt{e.mean, e.dev, e.past, e.seen, e.route.limit, max(0, e.route.haltUntil-s.h.Now())}
@@ -730,7 +731,7 @@
 // once: as long as its kind usually tells to wait, longer the sooner it is met again. Harm: room lies idle.
 func (s *Sender) heed(e *endpoint, wait Time) {
 	r, k := e.route, e.d.kind
-	if wait > noteUnit && wait < longestUsedUp {
+	if wait > noteUnit && wait < lastGuess/2 {
 		k.wait += Time(meanGain * float64(wait-k.wait))
 	}
 	if s.now < r.metAt+r.rest/2 {
@@ -781,7 +782,7 @@
 
 func (r *route) ready(now Time) bool {
 	// Room is tried again little by little, and faster the longer and the more calls show that there is some.
-	faster := max(0, min(seconds(now-r.lastCut-3*Second)/2, r.seen/(2*callsToJudge)))
+	faster := max(0, min(seconds(now-r.lastCut-3*Second), r.seen/callsToJudge))/2 + one(r.pace.rate < r.peak/2)
 	r.pace.rate = min(unpaced, r.pace.rate*math.Exp(paceGrow*(1+faster)*seconds(now-r.pace.at)))
 	return now >= r.haltUntil && r.pace.fill(now, max(1, r.pace.rate/2)) >= 1
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -97,6 +97,18 @@
 	// 5790.1  shed s
 }
 
+// Refusals that tell no wait, with nothing done for two seconds, halt the route for a guess that doubles.
+func ExampleSender_untoldWait() {
+	d := open(plain()).run(2100*Millisecond).take(0, 1, "p", "q").ended(Full, 0, "a", "p", "q")
+	d.run(900*Millisecond).ended(Full, 0, "a", "p", "q").run(2 * Second)
+	fmt.Println("guess:", d.s.byID[1].route.guess)
+	// Output:
+	// 2100.0  dispatch q to a
+	// 2100.0  dispatch p to a
+	// 3950.0  dispatch p to a
+	// guess: 3000
+}
+
 // Sends of one turn to one endpoint share a call: five notices of a kind that bundles three.
 func ExampleSender_bundle() {
 	d := open(plain()).take(2, 2, "p", "q", "r", "s", "t")
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -170,9 +170,21 @@
 			return s, fmt.Errorf("extra.carriage[%d]: %v is not 0 to 1", i, fee)
 		}
 	}
-	if s.RouteFees = b.Extra.Carriage; len(s.RouteFees) > len(b.Zones) {
+	if s.RouteFees = b.Extra.Carriage; len(s.RouteFees) > 0 && len(s.RouteFees) != len(b.Zones) {
 		return s, fmt.Errorf("extra.carriage: %d fees for %d zones", len(s.RouteFees), len(b.Zones))
 	}
+	for _, span := range []struct {
+		field string
+		told  int64
+	}{
+		{"rules.keyRest", b.Rules.KeyRest}, {"rules.cold", b.Rules.Cold}, {"rules.fall", b.Rules.Fall},
+		{"bounds.maxRetryAfter", b.Bounds.MaxRetryAfter}, {"bounds.connIdle", b.Bounds.ConnIdle},
+		{"bounds.dialTimeout", b.Bounds.DialTimeout},
+	} {
+		if span.told < 0 {
+			return s, fmt.Errorf("%s: %d is below 0", span.field, span.told)
+		}
+	}
 	for _, a := range b.Accounts {
 		s.Quotas = append(s.Quotas, a.QuotaRps)
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -61,6 +62,16 @@
 	Kinds map[string]choice.KindNo
 }
 
+// Zone is a zone's number. One that the settings do not name has a number of its own, so that it is taken for no
+// other: what is known in one zone alone must not be repeated in another.
+func (n *Names) Zone(name string) choice.ZoneNo {
+	no, known := n.Zones[name]
+	if !known && name != "" && len(n.Zones) > 0 {
+		return -1 - choice.ZoneNo(crc32.ChecksumIEEE([]byte(name)))
+	}
+	return no
+}
+
 var stages = map[string]choice.Stage{"up": choice.Ready, "draining": choice.Draining, "removed": choice.Gone}
 
 // Entries are those of a list as the module takes them. Ones that cannot be read are left out and counted.
@@ -72,7 +83,7 @@
 			continue
 		}
 		entries = append(entries, choice.Entry{Endpoint: choice.EndpointID(e.ID), Stage: stage,
-			Destination: choice.DestinationID(e.Cell), Kind: n.Kinds[e.Kind], Zone: n.Zones[e.Zone], Rating: e.Weight})
+			Destination: choice.DestinationID(e.Cell), Kind: n.Kinds[e.Kind], Zone: n.Zone(e.Zone), Rating: e.Weight})
 	}
 	return entries, unread
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -156,5 +156,18 @@
 	return nil
 }
 
+// Put replaces a small file beside the records, whole or not at all. Its owner keeps it small: it counts against no
+// limit here.
+func (j *Journal) Put(name string, data []byte) error {
+	path := filepath.Join(j.dir, name)
+	if err := os.WriteFile(path+".new", data, 0o600); err != nil {
+		return errors.Join(err, os.Remove(path+".new"))
+	}
+	return os.Rename(path+".new", path)
+}
+
+// Get reads what Put wrote.
+func Get(dir, name string) ([]byte, error) { return os.ReadFile(filepath.Join(dir, name)) }
+
 // Close ends the use of the file, which stays.
 func (j *Journal) Close() error { return errors.Join(j.Flush(), j.file.Close()) }
--- a/internal/sender/admit.go
+++ b/internal/sender/admit.go
@@ -9,6 +9,8 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -44,7 +46,9 @@
 	lasting  bool   // its record is written, or waits in the batch
 	tries    int    // dispatches of this process
 	out      *call
-	sure     bool // a dispatch that may have run is on record
+	sure     bool   // a dispatch that may have run is on record
+	ranIn    string // the zone's name, where a dispatch may have run: numbers are the settings', and may change
+	strange  bool   // of a workload that the settings do not name
 	ending   ending
 	size     int64
 }
@@ -232,7 +236,7 @@
 		for _, n := range c.notices {
 			if s.limitsRepeat(n) && !n.sure {
 				n.sure = true
-				s.journal.Add(outRecord(n.ID, c.began, c.e.zone))
+				s.journal.Add(outRecord(n.ID, c.began, c.e.zoneName))
 			}
 		}
 	}
@@ -310,7 +314,7 @@
 // Kinds of record. All hold the id; what else they hold stands beside them.
 const (
 	recTaken  = 'T' // all that was handed in, and the hard stop by the wall clock
-	recOut    = 'O' // a dispatch that may run: when, and to which zone
+	recOut    = 'O' // a dispatch that may run: when, and to which zone, by number (before names were written) and name
 	recBack   = 'B' // it is proven that none has run
 	recEnding = 'E' // what the platform is still to be told
 	recOver   = 'X' // nothing more is owed
@@ -327,8 +331,8 @@
 	return appendText(out, string(n.body))
 }
 
-func outRecord(id choice.NoticeID, at choice.Time, zone choice.ZoneNo) []byte {
-	return binary.AppendVarint(binary.AppendVarint(plainRecord(recOut, id), int64(at)), int64(zone))
+func outRecord(id choice.NoticeID, at choice.Time, zone string) []byte {
+	return appendText(binary.AppendVarint(binary.AppendVarint(plainRecord(recOut, id), int64(at)), 0), zone)
 }
 
 func plainRecord(kind byte, id choice.NoticeID) []byte { return appendText([]byte{kind}, string(id)) }
@@ -341,9 +345,9 @@
 func (n *notice) records(add func([]byte)) {
 	add(n.record())
 	if n.sure && n.MayRun {
-		add(outRecord(n.ID, n.RanAt, n.RanIn))
+		add(outRecord(n.ID, n.RanAt, n.ranIn))
 	} else if n.sure && n.out != nil {
-		add(outRecord(n.ID, n.out.began, n.out.e.zone))
+		add(outRecord(n.ID, n.out.began, n.out.e.zoneName))
 	}
 	if n.ending.what != endNone {
 		add(endingRecord(n))
@@ -353,6 +357,7 @@
 // openJournal rebuilds what an earlier process owed, in the order it was taken on.
 func (s *Sender) openJournal() (unfinished []*notice, err error) {
 	s.owed, s.admission.ended = map[choice.NoticeID]*notice{}, map[choice.NoticeID]struct{}{}
+	strange := map[string]int{}
 	limit := int64(s.cfg.Limits.DiskMB * 1e6)
 	j, dropped, err := journal.Open(s.cfg.State, limit, s.replay)
 	if err != nil {
@@ -364,10 +369,17 @@
 		s.live += n.size + endRecords
 		if n.ending.what != endNone {
 			s.endings = append(s.endings, n)
+		} else if n.strange {
+			strange[n.workload]++
 		} else {
 			unfinished = append(unfinished, n)
 		}
 	}
+	for _, workload := range slices.Sorted(maps.Keys(strange)) {
+		// To go on would lose them: nothing is known of what may be repeated, or of how long.
+		return nil, errors.Join(fmt.Errorf("field state: %s owes %d notices of workload %q, which field settings.classes does not name; "+
+			"end them under the settings that they came with", s.cfg.State, strange[workload], workload), j.Close())
+	}
 	s.counts.replayed = int64(len(s.order))
 	s.log.Info("journal open", zap.Int("owed", len(s.order)), zap.Int64("bytes", j.Size()), zap.Int64("dropped", dropped))
 	return unfinished, nil
@@ -384,7 +396,8 @@
 		n.HardStop, n.Destination = choice.Time(p.number()), choice.DestinationID(p.number())
 		n.body = []byte(p.text())
 		w, known := s.cfg.Workloads[n.workload]
-		if n.Workload = w; p.broken || !known {
+		n.Workload, n.strange = w, !known
+		if p.broken {
 			s.log.Warn("journal: a notice cannot be read", zap.String("id", string(id)), zap.String("workload", n.workload))
 			return
 		}
@@ -399,6 +412,10 @@
 	case recOut:
 		n.sure, n.MayRun = true, true
 		n.RanAt, n.RanIn = choice.Time(p.number()), choice.ZoneNo(p.number())
+		if len(p.rest) > 0 {
+			n.ranIn = p.text()
+			n.RanIn = s.names.Zone(n.ranIn)
+		}
 	case recBack:
 		n.sure, n.MayRun = false, false
 	case recEnding:
--- /dev/null
+++ b/internal/sender/learnt.go
@@ -0,0 +1,87 @@
+package sender
+
+// This file carries what was learnt of endpoints from one life of a sender to the next, through the folder that
+// lasts: a planned end writes it, a start reads it. What it holds is the module's to say (choice.Learnt). It must
+// never keep a start from happening, nor pass on what was learnt of another machine under the same id.
+
+import (
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"maps"
+	"math"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"flaxcove/choice"
+	"flaxcove/internal/journal"
+)
+
+const (
+	learntFile  = "learnt.json"
+	learntShare = 0.02 // of the disk, beside what the journal may fill
+)
+
+// learnt is what stands in the file for one endpoint: it still means the same where all three of the first are.
+type learnt struct {
+	Endpoint    choice.EndpointID    `json:"endpoint"`
+	Destination choice.DestinationID `json:"destination"`
+	Addr        string               `json:"addr"`
+	choice.Learnt
+}
+
+// lesson is the whole file. Waits count from At, by the wall clock.
+type lesson struct {
+	At        choice.Time `json:"at"`
+	Endpoints []learnt    `json:"endpoints"`
+}
+
+// recall reads what an earlier life wrote. What cannot be read, or makes no sense, starts afresh and is logged.
+func (s *Sender) recall() {
+	var l lesson
+	text, err := journal.Get(s.cfg.State, learntFile)
+	if errors.Is(err, fs.ErrNotExist) {
+		return
+	}
+	if err == nil {
+		err = json.Unmarshal(text, &l)
+	}
+	if err != nil {
+		s.log.Warn("learnt: not read, every endpoint starts afresh", zap.String("file", learntFile), zap.Error(err))
+		return
+	}
+	s.learnt = map[choice.EndpointID]learnt{}
+	for _, k := range l.Endpoints {
+		k.Wait = max(0, k.Wait-max(0, s.Now()-l.At))
+		if k.Mean > 0 && k.Dev >= 0 && k.Past > 0 && k.Seen >= 0 && k.Limit >= 0 && k.Wait < choice.Time(math.MaxInt32) {
+			s.learnt[k.Endpoint] = k
+		}
+	}
+	s.log.Info("learnt", zap.Int("endpoints", len(s.learnt)), zap.Int("left_out", len(l.Endpoints)-len(s.learnt)))
+}
+
+// remind writes what the next life may keep, of as many endpoints as there is room for.
+func (s *Sender) remind() {
+	l := lesson{At: s.Now()}
+	room := int(learntShare*float64(s.journal.Limit())) - 64 // for what stands around them
+	for _, id := range slices.Sorted(maps.Keys(s.endpoints)) {
+		e, k := s.endpoints[id], s.module.Learnt(id)
+		if e.gone || k.Seen == 0 && k.Wait == 0 {
+			continue
+		}
+		entry := learnt{id, e.dest, e.addr, k}
+		text, err := json.Marshal(entry)
+		if room -= len(text) + 1; err != nil || room < 0 {
+			break
+		}
+		l.Endpoints = append(l.Endpoints, entry)
+	}
+	text, err := json.Marshal(l)
+	if err == nil {
+		err = s.journal.Put(learntFile, text)
+	}
+	if err != nil {
+		s.log.Error("learnt: not written", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/sender/move_test.go
@@ -0,0 +1,239 @@
+package sender
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"flaxcove/choice"
+	"flaxcove/internal/config"
+	"flaxcove/internal/directory"
+	"flaxcove/internal/resp"
+)
+
+// before and after are the settings of a deployment that is left and of one that is moved to: the workloads stand in
+// another order there, the zones have other numbers, and routes apart cost something.
+const (
+	before = `{"balancers":2,"quantum":5000000,"machineTypes":["one"],"zones":["z"],
+"bounds":{"maxAttempts":9,"maxOpen":50,"connIdle":10000000000,"dialTimeout":1000000000,"retryAfter":true,"maxRetryAfter":2000000000},
+"classes":[{"name":"offer","idempotency":"token","group":"zone","repeatWindow":10000000000,"aim":3000000000,"deadline":20000000000,"worth":2},
+{"name":"change","idempotency":"side_effect","byArrival":true,"aim":2500000000,"deadline":20000000000,"worth":1}],
+"extra":{"callsOut":8},"rules":{"cold":1000000000,"coldFrom":0.5,"fallMultiple":2,"keyRest":300000000},"stats":{"fields":["x0","x1"]}}`
+	listBefore = `{"version":9,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1","zone":"z","kind":"one","cell":1,"state":"up","weight":9}]}`
+	listAfter  = `{"version":1,"full":true,"servers":[{"id":"n","addr":"127.0.0.1:7","zone":"y","kind":"one","cell":1,"state":"up","weight":9},
+{"id":"a","addr":"127.0.0.1:1","zone":"z","kind":"one","cell":1,"state":"up","weight":9}]}`
+)
+
+var after = strings.NewReplacer(`"zones":["z"]`, `"zones":["y","z"]`, `"extra":{`, `"extra":{"carriage":[0.01,0.04],"separateRoutes":[true],`,
+	`"classes":[{"name":"offer","idempotency":"token","group":"zone","repeatWindow":10000000000,"aim":3000000000,"deadline":20000000000,"worth":2},
+{"name":"change","idempotency":"side_effect","byArrival":true,"aim":2500000000,"deadline":20000000000,"worth":1}]`,
+	`"classes":[{"name":"change","idempotency":"side_effect","byArrival":true,"aim":2500000000,"deadline":20000000000,"worth":1},
+{"name":"offer","idempotency":"token","group":"zone","repeatWindow":10000000000,"aim":3000000000,"deadline":20000000000,"worth":2}]`).Replace(before)
+
+// An old folder under new settings: a tokened notice that may have run in zone z goes again to zone z, whatever its
+// number is now; where z is not known any more it goes nowhere; a single-use one that was out is given up. What an
+// ordered key still owes goes on in the order taken. A switch back finds the same.
+func Example_moveOfFolder() {
+	dir, _ := os.MkdirTemp("", "sender")
+	r := startAs(configureAs(dir, before, listBefore)).hand("OUT.ADD k of c=offer,d=20000,dest=1 x").answer(lost)
+	r.hand("OUT.ADD k out c=change,d=20000,dest=1 x", "OUT.ADD k next c=change,d=20000,dest=1 x", "OUT.ADD k last c=change,d=20000,dest=1 x")
+	fmt.Println("killed, moved")
+	r = startAs(configureAs(dir, after, listAfter)).turn(400 * time.Millisecond)
+	for _, c := range r.calls {
+		fmt.Println("out:", c.e.id, c.notices[0].ID)
+	}
+	fmt.Println("killed, moved to where z is not known")
+	startAs(configureAs(dir, strings.Replace(after, `["y","z"]`, `["y","x"]`, 1), strings.Replace(listAfter, `"zone":"z"`, `"zone":"x"`, 1))).turn(400 * time.Millisecond)
+	fmt.Println("killed, moved back")
+	startAs(configureAs(dir, before, listBefore)).turn(400 * time.Millisecond)
+	os.RemoveAll(dir)
+	// Output:
+	// call a: POST /inbox
+	//    of
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// killed, moved
+	// call a: POST /inbox
+	//    of
+	// call n: POST /inbox
+	//    out
+	// out: a of
+	// out: n out
+	// killed, moved to where z is not known
+	// platform: {"message":"out","outcome":"given_up"}
+	// call n: POST /inbox
+	//    next
+	// killed, moved back
+	// platform: {"message":"next","outcome":"given_up"}
+	// call a: POST /inbox
+	//    of
+	// call a: POST /inbox
+	//    last
+}
+
+// A workload that the new settings do not name would be lost with its notices: the start is refused and names it, the
+// folder stays as it is, and the old settings still serve it.
+func Example_moveWithoutWorkload() {
+	dir, _ := os.MkdirTemp("", "sender")
+	startAs(configureAs(dir, before, listBefore)).hand("OUT.ADD k of c=offer,d=20000,dest=1 x")
+	startAs(configureAs(dir, strings.Replace(after, `"name":"offer"`, `"name":"other"`, 1), listAfter))
+	startAs(configureAs(dir, before, listBefore)).owed()
+	os.RemoveAll(dir)
+	// Output:
+	// call a: POST /inbox
+	//    of
+	// client: +OK
+	// field state: DIR owes 1 notices of workload "offer", which field settings.classes does not name; end them under the settings that they came with
+	// owed: 1 to the platform: 0
+}
+
+// What a planned end wrote is read for the endpoint that is the same machine of the same destination, and for no other;
+// a file that cannot be read, or makes no sense, is passed over.
+func Example_learnt() {
+	dir, _ := os.MkdirTemp("", "sender")
+	show := func(list string) {
+		r := startAs(configureAs(dir, after, list))
+		fmt.Printf("a: %+v\n", r.s.module.Learnt("a"))
+	}
+	r := startAs(configureAs(dir, before, listBefore)).hand("OUT.ADD k of c=offer,d=20000,dest=1 x")
+	r.clock += 90 * time.Millisecond
+	r.answer("HTTP/1.1 200 OK\nX-Load: x0=0.5,x1=7\nContent-Length: 0\n\n").s.close()
+	show(listAfter)
+	show(strings.Replace(listAfter, "127.0.0.1:1", "127.0.0.1:5", 1))
+	show(strings.Replace(listAfter, `"zone":"z","kind":"one","cell":1`, `"zone":"z","kind":"one","cell":2`, 1))
+	for _, text := range []string{`{"endpoints":[{"endpoint":"a","destination":1,"addr":"127.0.0.1:1","Mean":-1,"Seen":1}]}`, `{"endp`} {
+		os.WriteFile(filepath.Join(dir, learntFile), []byte(text), 0o600)
+		show(listAfter)
+	}
+	os.RemoveAll(dir)
+	// Output:
+	// call a: POST /inbox
+	//    of
+	// client: +OK
+	// a: {Mean:900 Dev:11600 Past:900 Seen:1 Limit:7 Wait:0}
+	// a: {Mean:12500 Dev:12500 Past:12500 Seen:0 Limit:0 Wait:0}
+	// a: {Mean:12500 Dev:12500 Past:12500 Seen:0 Limit:0 Wait:0}
+	// a: {Mean:12500 Dev:12500 Past:12500 Seen:0 Limit:0 Wait:0}
+	// a: {Mean:12500 Dev:12500 Past:12500 Seen:0 Limit:0 Wait:0}
+}
+
+// TestMove plays the move over loopback sockets against stand-ins: in the first seconds after the switch a wait told to the
+// old process is still heeded, what it learnt of an endpoint that stays is known, what is new starts afresh, and a
+// switch back finds what was owed.
+func TestMove(t *testing.T) {
+	t.Parallel()
+	w := &world{met: map[string][]string{}}
+	server := httptest.NewServer(w)
+	defer server.Close()
+	addr := server.Listener.Addr().String()
+	dir := t.TempDir()
+	entry := func(id, zone string, cell float64) directory.Entry {
+		return directory.Entry{ID: id, Addr: addr, Zone: zone, Kind: "one", Cell: cell, State: "up", Weight: 9}
+	}
+	run := func(settings string, entries ...directory.Entry) (s *Sender, hand func(id, dest, body string), end func()) {
+		cfg := configureAs(dir, settings, `{"version":1,"full":true}`)
+		cfg.Listen, cfg.Discovery, cfg.Known.Servers = "127.0.0.1:0", addr, entries
+		s, err := Start(cfg, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan struct{})
+		go func() {
+			s.Run()
+			close(done)
+		}()
+		conn, err := net.Dial("tcp", s.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		in := bufio.NewReader(conn)
+		return s, func(id, dest, body string) {
+				conn.Write(resp.AppendCommand(nil, []byte("OUT.ADD"), []byte("k"), []byte(id), []byte("c=offer,d=20000,dest="+dest), []byte(body)))
+				if line, err := in.ReadString('\n'); line != "+OK\r\n" {
+					t.Fatalf("%s: %q %v", id, line, err)
+				}
+			}, func() {
+				conn.Close()
+				s.Drain()
+				<-done
+			}
+	}
+	seen := func(s *Sender, id choice.EndpointID) float64 {
+		got := make(chan float64)
+		s.post(func() { got <- s.module.Learnt(id).Seen })
+		return <-got
+	}
+	meets := func(id string, times int) bool {
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			if w.count(id) >= times {
+				return true
+			}
+		}
+		return false
+	}
+	const done = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+	_, hand, end := run(before, entry("stays", "z", 1), entry("shut", "z", 2), entry("old", "z", 3))
+	hand("one", "1", done)
+	hand("waits", "2", "HTTP/1.1 429 Wait\r\nRetry-After: 6\r\nContent-Length: 0\r\n\r\n")
+	if !meets("one", 1) || !meets("waits", 1) {
+		t.Fatal("nothing left before the move")
+	}
+	told := time.Now()
+	end()
+
+	s, hand, end := run(after, entry("stays", "z", 1), entry("shut", "z", 2), entry("new", "y", 3))
+	if old, fresh := seen(s, "stays"), seen(s, "new"); old != 1 || fresh != 0 {
+		t.Errorf("known of the endpoint that stays: %v calls, of the new one: %v", old, fresh)
+	}
+	hand("two", "3", done)
+	if !meets("two", 1) {
+		t.Error("nothing is delivered after the move")
+	}
+	if !meets("waits", 2) {
+		t.Error("what was owed is not tried again")
+	} else if early := time.Since(told); early < 5900*time.Millisecond {
+		t.Errorf("the wait told before the move was over after %v", early)
+	}
+	end()
+
+	s, _, end = run(before, entry("stays", "z", 1), entry("shut", "z", 2), entry("old", "z", 3))
+	if old := seen(s, "stays"); old != 1 {
+		t.Errorf("after the switch back %v calls are known of the endpoint that stays", old)
+	}
+	owed := make(chan bool)
+	s.post(func() { owed <- s.owed["waits"] != nil })
+	if !<-owed {
+		t.Error("after the switch back what waits is not owed")
+	}
+	end()
+}
+
+// Settings that cannot be are refused by one message that names the field, at a start as at a reload.
+func Example_moveSettings() {
+	for _, change := range [][2]string{{`"carriage":[0.01,0.04]`, `"carriage":[0.01]`}, {`"carriage":[0.01,0.04]`, `"carriage":[0.01,-1]`},
+		{`"keyRest":300000000`, `"keyRest":-1`}, {`"cold":1000000000`, `"cold":-5`}} {
+		file := fmt.Sprintf(`{"name":"s","listen":"127.0.0.1:0","discovery":"127.0.0.1:2","state":"state","settings":%s}`,
+			strings.Replace(after, change[0], change[1], 1))
+		path := filepath.Join(os.TempDir(), fmt.Sprint("move", os.Getpid(), ".json"))
+		os.WriteFile(path, []byte(file), 0o600)
+		_, err := config.Load(func(name string) string { return map[string]string{"EDGE_CONFIG": path}[name] })
+		fmt.Println(strings.ReplaceAll(fmt.Sprint(err), path, "FILE"))
+		os.Remove(path)
+	}
+	// Output:
+	// FILE: field settings: extra.carriage: 1 fees for 2 zones
+	// FILE: field settings: extra.carriage[1]: -1 is not 0 to 1
+	// FILE: field settings: rules.keyRest: -1 is below 0
+	// FILE: field settings: rules.cold: -5 is below 0
+}
--- a/internal/sender/relay.go
+++ b/internal/sender/relay.go
@@ -187,7 +187,7 @@
 	switch o.Result {
 	case choice.Errored, choice.TimedOut, choice.Reset, choice.Cancelled, choice.Spoilt:
 		if !n.MayRun {
-			n.MayRun, n.RanAt, n.RanIn = true, c.began, c.e.zone
+			n.MayRun, n.RanAt, n.RanIn, n.ranIn = true, c.began, c.e.zone, c.e.zoneName
 		}
 	default:
 		if n.sure && !n.MayRun && !o.Final {
--- a/internal/sender/route.go
+++ b/internal/sender/route.go
@@ -17,15 +17,17 @@
 
 // endpoint is one of the list; it leaves once it is gone and has neither links nor calls.
 type endpoint struct {
-	id     choice.EndpointID
-	addr   string
-	dest   choice.DestinationID
-	zone   choice.ZoneNo
-	bundle int
-	gone   bool
-	open   *call // the one that this turn's notices share
-	idle   []*link
-	links  int // idle, busy and coming up
+	id   choice.EndpointID
+	addr string
+	dest choice.DestinationID
+	zone choice.ZoneNo
+	// zoneName outlasts the settings that number it.
+	zoneName string
+	bundle   int
+	gone     bool
+	open     *call // the one that this turn's notices share
+	idle     []*link
+	links    int // idle, busy and coming up
 }
 
 type routing struct {
@@ -55,11 +57,14 @@
 			e.gone = true
 		}
 	}
-	addrs := map[choice.EndpointID]string{}
+	addrs, zones := map[choice.EndpointID]string{}, map[choice.EndpointID]string{}
 	for _, entry := range l.Servers {
-		addrs[choice.EndpointID(entry.ID)] = entry.Addr
+		addrs[choice.EndpointID(entry.ID)], zones[choice.EndpointID(entry.ID)] = entry.Addr, entry.Zone
 	}
-	for _, entry := range entries {
+	for i, entry := range entries {
+		if k, is := s.learnt[entry.Endpoint]; is && k.Addr == addrs[entry.Endpoint] && k.Destination == entry.Destination {
+			entries[i].Learnt = &k.Learnt
+		}
 		e := s.endpoints[entry.Endpoint]
 		if e == nil {
 			e = &endpoint{id: entry.Endpoint}
@@ -70,6 +75,7 @@
 			e.addr = addr
 		}
 		kinds := s.cfg.Settings.Kinds
+		e.zoneName = zones[e.id]
 		e.zone, e.bundle = entry.Zone, kinds[max(0, min(int(entry.Kind), len(kinds)-1))].BundleMax
 		e.dest, e.gone = entry.Destination, entry.Stage == choice.Gone
 	}
@@ -159,4 +165,3 @@
 	s.takeBack(s.wakes[id])
 	delete(s.wakes, id)
 }
-
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -38,6 +38,7 @@
 	cfg    *config.Config
 	log    *zap.Logger
 	module *choice.Sender
+	learnt map[choice.EndpointID]learnt // by an earlier life; read as the list names its endpoints
 	names  directory.Names
 	start  time.Time            // Now counts from here by the monotonic clock, so that it never steps back
 	clock  func() time.Duration // since start
@@ -96,6 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.recall()
 	s.module = choice.Start(s, choice.SenderID(cfg.Name), cfg.Seed, cfg.Settings)
 	s.listNews(cfg.Known, true)
 	for _, n := range unfinished {
@@ -267,6 +269,7 @@
 func (s *Sender) close() {
 	close(s.stop)
 	s.endWatches(len(s.watches))
+	s.remind()
 	if err := s.journal.Close(); err != nil {
 		s.log.Error("journal", zap.Error(err))
 	}
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -40,15 +40,28 @@
 {"id":"z","addr":"127.0.0.1:9","zone":"z","kind":"one","cell":9,"state":"draining","weight":100}]}`
 
 func configure(dir string, maxOpen int) *config.Config {
+	return configureAs(dir, fmt.Sprintf(boot, maxOpen), known)
+}
+
+// configureAs takes a settings object and a list.
+func configureAs(dir, settings, list string) *config.Config {
 	var b config.Boot
 	c := &config.Config{Name: "s", State: dir, Limits: config.Limits{MemoryMB: 192, Sockets: 256, DiskMB: 0.25},
-		Workloads: map[string]choice.WorkloadNo{"status": 0, "order": 1},
-		Zones:     map[string]choice.ZoneNo{"z": 0}, Kinds: map[string]choice.KindNo{"one": 0, "many": 1}}
-	for text, to := range map[string]any{fmt.Sprintf(boot, maxOpen): &b, known: &c.Known} {
+		Workloads: map[string]choice.WorkloadNo{}, Zones: map[string]choice.ZoneNo{}, Kinds: map[string]choice.KindNo{}}
+	for text, to := range map[string]any{settings: &b, list: &c.Known} {
 		if err := json.Unmarshal([]byte(text), to); err != nil {
 			fmt.Println(err)
 		}
 	}
+	for i, class := range b.Classes {
+		c.Workloads[class.Name] = choice.WorkloadNo(i)
+	}
+	for i, zone := range b.Zones {
+		c.Zones[zone] = choice.ZoneNo(i)
+	}
+	for i, kind := range b.MachineTypes {
+		c.Kinds[kind] = choice.KindNo(i)
+	}
 	c.Settings, _ = b.Settings(true)
 	return c
 }
@@ -58,10 +71,16 @@
 	if dir == "" {
 		dir, _ = os.MkdirTemp("", "sender")
 	}
+	return startAs(configure(dir, maxOpen))
+}
+
+func startAs(cfg *config.Config) *rig {
+	dir := cfg.State
 	r := &rig{dir: dir, clock: time.Minute, up: true}
-	s, err := open(configure(dir, maxOpen), zap.NewNop(), time.Unix(1e9, 0), func() time.Duration { return r.clock })
+	s, err := open(cfg, zap.NewNop(), time.Unix(1e9, 0), func() time.Duration { return r.clock })
 	if err != nil {
-		fmt.Println(err)
+		fmt.Println(strings.ReplaceAll(err.Error(), dir, "DIR"))
+		return r
 	}
 	s.dial = func(c *call) { r.calls = append(r.calls, c) }
 	s.tell = func(_ string, body []byte) (int, error) {
@@ -628,7 +647,7 @@
 func FuzzReplay(f *testing.F) {
 	n := &notice{key: "0", workload: "order"}
 	n.ID, n.HardStop = "id", 9e13
-	f.Add(n.record(), outRecord("id", 5, 0))
+	f.Add(n.record(), outRecord("id", 5, "z"))
 	f.Add(n.record(), endingRecord(&notice{Notice: n.Notice, ending: ending{what: endGivenUp}}))
 	f.Fuzz(func(t *testing.T, first, second []byte) {
 		dir := t.TempDir()
@@ -640,6 +659,9 @@
 		j.Add(second)
 		j.Close()
 		a := start(dir, 100)
+		if a.s == nil {
+			return // of a workload that the settings do not name
+		}
 		owed := len(a.s.owed)
 		a.s.journal.Rewrite(func(add func([]byte)) {
 			for _, n := range a.s.order {
--- a/internal/sender/sockets_test.go
+++ b/internal/sender/sockets_test.go
@@ -39,6 +39,12 @@
 	return strings.Join(w.met[id], ", ")
 }
 
+func (w *world) count(id string) int {
+	w.Lock()
+	defer w.Unlock()
+	return len(w.met[id])
+}
+
 func (w *world) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	switch r.URL.Path {
@@ -151,7 +157,7 @@
 	if len(s.owed) != 0 {
 		t.Errorf("%d notices owed at the end", len(s.owed))
 	}
-	if files, _ := os.ReadDir(cfg.State); len(files) != 1 {
+	if files, _ := os.ReadDir(cfg.State); len(files) != 2 { // records, and what was learnt
 		t.Errorf("%d files in the state folder", len(files))
 	}
 }
--- a/lab/baseline/baseline.go
+++ b/lab/baseline/baseline.go
@@ -123,7 +123,6 @@
 	}
 }
 
-
 func (p *plain) Taken(in choice.Notice) {
 	n := &notice{Notice: in}
 	p.held[n.ID] = n
