In a fleet an endpoint not measured yet is taken for one like its kind

To blame: `timeOut` on the times that `ListNews` sets, half a contract time as mean and spread: 16.5 s at a contract time of 3 s, and nearly every call of a sender in a fleet goes to an endpoint that it never measured. Ruled out: limits (few refusals by partners), rooms and keys (slots were all taken, calls per try under one).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -85,6 +85,7 @@
 // kind is what is known of all destinations that the list calls alike.
 type kind struct {
 	Kind
+	times           // of all calls there, for endpoints where none was done yet
 	reports bool    // its answers tell of limits, so that a refusal without one is no limit's
 	again   bucket  // what pays for retries: calls done, and a trickle
 	wait    Time    // what used-up routes usually tell to wait
@@ -191,7 +192,6 @@
 	return s
 }
 
-// ListNews tells all entries of the list, or those that changed.
 func (s *Sender) ListNews(entries []Entry, whole bool) {
 	s.now = s.h.Now()
 	for _, e := range s.endpoints {
@@ -326,7 +326,7 @@
 	}
 	n.queue = n.d.queues[n.Workload]
 	if n.refused {
-		n.queue = n.d.lane()
+		n.queue = n.d.queues[len(n.d.queues)-1]
 	} else if n.tries > 0 {
 		n.queue = n.d.queues[len(s.workloads)]
 	}
@@ -336,8 +336,6 @@
 	}
 }
 
-func (d *destination) lane() *list.List { return d.queues[len(d.queues)-1] }
-
 func (s *Sender) unqueue(n *notice) {
 	if n.elem != nil {
 		n.queue.Remove(n.elem)
@@ -522,6 +520,7 @@
 	switch o.Result {
 	case Done:
 		e.measure(float64(o.Took), meanGain, pastGain)
+		e.d.kind.measure(float64(o.Took), meanGain, pastGain)
 		e.d.kind.short *= 1 - meanGain*one(c.fresh)
 		e.d.again.level += [...]float64{1, notedPay}[int(one(s.notes))]
 		r.good.count(s.now, loadSpan*Time(s.senders))
@@ -731,9 +730,7 @@
 // once: as long as its kind usually tells to wait, longer the sooner it is met again. Harm: room lies idle.
 func (s *Sender) heed(e *endpoint, wait Time) {
 	r, k := e.route, e.d.kind
-	if wait > noteUnit && wait < lastGuess/2 {
-		k.wait += Time(meanGain * float64(wait-k.wait))
-	}
+	k.wait += Time(one(wait > noteUnit && wait < lastGuess/2) * meanGain * float64(wait-k.wait))
 	if s.now < r.metAt+r.rest/2 {
 		return
 	} else if r.rest = min(max(Second, 2*k.wait), r.rest+r.rest/2); s.now >= r.metAt+2*r.rest {
@@ -873,7 +870,7 @@
 					continue
 				}
 				n := l.Back().Value.(*notice)
-				if e := s.place(n, l == d.lane() && d.laneOut >= s.laneMax); e != nil {
+				if e := s.place(n, l == d.queues[len(d.queues)-1] && d.laneOut >= s.laneMax); e != nil {
 					if v := (s.worth(n, Time(s.usual(n.d))) + 1e-6) / max(1, e.mean); v > top {
 						best, to, top = n, e, v
 					}
@@ -925,20 +922,21 @@
 }
 
 func (s *Sender) dispatch(n *notice, e *endpoint) {
-	lane := n.queue == n.d.lane()
+	lane := n.queue == n.d.queues[len(n.d.queues)-1]
 	s.unqueue(n)
 	if n.w.Repeat == SingleUse && s.kept > keptMost {
 		s.h.CloseIdle(e.id)
 	}
+	if k := &e.d.kind.times; s.senders > smallFleet && e.seen == 0 && k.seen > 0 {
+		e.times = times{k.mean, k.dev, k.past, 0}
+	}
 	c := e.open
 	if c == nil || c.turn != s.turns || c.n >= n.d.kind.BundleMax {
 		c = &call{e: e, sentAt: s.now, turn: s.turns, lane: lane, fresh: e.calls == 0 && s.now >= e.linkUntil}
 		n.d.laneOut, n.d.again.level = n.d.laneOut+int(one(lane)), n.d.again.level-one(n.tries > 0)
 		e.open, e.calls, e.cold.level, e.route.pace.level = c, e.calls+1, e.cold.level-1, e.route.pace.level-1
 		e.route.load.count(s.now, s.loadSpan)
-		if e.aside {
-			e.passed, e.tryAt = !s.probes, s.now+2*e.step
-		}
+		e.passed, e.tryAt = !s.probes, s.now+2*e.step // read while it is set aside
 		e.used.count(s.now, loadSpan*Time(s.senders))
 		s.calls = append(s.calls, c)
 	} else {
--- a/choice/notes_test.go
+++ b/choice/notes_test.go
@@ -76,3 +76,24 @@
 	// 3000.0  dispatch p to a
 	// true true
 }
+
+// In a fleet a call to an endpoint where none was done yet gets the time-out of its kind, not that of half a contract
+// time: many such calls, unanswered, would hold the few slots for as long as a notice lives.
+func ExampleSender_likeItsKind() {
+	for _, senders := range []int{80, 2} {
+		set := noted()
+		set.Senders = senders
+		d := open(set)
+		d.mute = true
+		d.s.ListNews([]Entry{{Endpoint: "e", Destination: 3}}, false)
+		for i := range 40 {
+			id := NoticeID(fmt.Sprint(i))
+			d.take(0, 1, id).ended(Done, 0, "a", id)
+		}
+		d.take(0, 3, "first")
+		fmt.Println(senders, "senders:", seconds(d.s.timeOut(d.s.held["first"], d.s.endpoints["e"])), "s")
+	}
+	// Output:
+	// 80 senders: 1 s
+	// 2 senders: 5.5 s
+}
