Waits, not paces, decide when a notice goes again in a fleet with notes

To blame: the floor of paces in `slowDown`, one call in the longest retry wait: a refused call's route was closed to its sender for some eight seconds, whatever its jittered wait. Changed: the floor is one call in the first retry ceiling.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -627,7 +627,7 @@
 				to = paceCut * min(r.pace.rate, to)
 			}
 		}
-		r.pace.rate = max(leastPace/s.senders, one(s.notes)/seconds(s.cap), to)
+		r.pace.rate = max(leastPace/s.senders, one(s.notes)/seconds(s.base), to)
 	}
 }
 
