--- a/choice/choice.go
+++ b/choice/choice.go
@@ -476,6 +476,7 @@
 	ceiling := min(s.cap, s.base<<min(n.tries-1, 20))
 	n.dueAt = min(s.now+s.chance.upTo(string(n.ID), ceiling), last)
 	s.wake(n, n.dueAt)
+	s.wake(n, last+1)
 }
 
 func (s *Sender) hangUp(c *call) {
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -50,6 +50,7 @@
 	// free_links	sender-0	endpoint_a
 	// timer	sender-0	40700000	2
 	// timer	sender-0	5390100000	3
+	// timer	sender-0	5390100000	4
 	// submit_to	sender-0	t/b	4400000000	endpoint_a
 	// done
 }
