An older record's zone outlasts a rewriting; what was learnt is read once

A record of before zones had names was rewritten with number 0 and no name, so that the restart after it could repeat a tokened notice in another zone (replay, outRecord; Example_zoneOfOldRecord). Numbers are written beside names again, so that the program before reads them too. What was learnt stayed for the whole life, and an endpoint that came back to the list hours later was given an old wait anew (Example_learntOnce). Two endpoints whose signs are alike: the end of one no longer silences the other (settled). Further hard cases: a head whose time ends, one handed in again, endpoints that join a cold destination.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -134,18 +134,18 @@
 }
 
 type Sender struct {
-	h                                                                            Host
-	chance                                                                       chance
-	workloads                                                                    []Workload
-	kinds                                                                        []kind
-	shares                                                                       []bucket  // by account
-	fees                                                                         []float64 // by zone
-	zone                                                                         ZoneNo
-	slots, laneMax, maxOpen, maxTries, turns                                     int
-	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare, kept     float64 // kept: see learn
-	now, born, base, cap, turn, cold, fall, loadSpan, keyRest, connIdle, longest Time    // longest: 0 for none
-	probes, halving, tellsFull, notes                                            bool
-	lastTimer                                                                    TimerID
+	h                                                                        Host
+	chance                                                                   chance
+	workloads                                                                []Workload
+	kinds                                                                    []kind
+	shares                                                                   []bucket  // by account
+	fees                                                                     []float64 // by zone
+	zone                                                                     ZoneNo
+	slots, laneMax, maxOpen, maxTries, turns                                 int
+	senders, prior, topGain, overGain, ratingPart, fallRate, coldShare, kept float64 // kept: see learn
+	now, base, cap, turn, cold, fall, loadSpan, keyRest, connIdle, longest   Time    // longest: 0 for none
+	probes, halving, tellsFull, notes                                        bool
+	lastTimer                                                                TimerID
 
 	held      map[NoticeID]*notice           // emptied as notices end
 	timers    map[TimerID]*notice            // emptied as each fires or its notice is released
@@ -160,7 +160,7 @@
 
 func Start(h Host, id SenderID, seed int64, set Settings) *Sender {
 	s := &Sender{
-		h: h, chance: newChance(id, seed), now: h.Now(), born: h.Now(),
+		h: h, chance: newChance(id, seed), now: h.Now(),
 		workloads: set.Workloads, fees: set.RouteFees, halving: set.Halving, slots: set.Slots,
 		laneMax: max(1, set.Slots/laneShare), maxOpen: set.MaxOpen, maxTries: set.MaxDispatches,
 		senders: float64(set.Senders), zone: set.Zone, longest: set.LongestReturn, overGain: set.OverShareGain,
@@ -834,7 +834,7 @@
 		}
 		if s.endpoints[e.id] == e {
 			delete(s.endpoints, e.id)
-			delete(s.signs, signOf(e.id))
+			maps.DeleteFunc(s.signs, func(_ sign, other *endpoint) bool { return other == e }) // two may share one
 		}
 		return true
 	})
--- a/choice/notes_test.go
+++ b/choice/notes_test.go
@@ -77,6 +77,23 @@
 	// true true
 }
 
+// What joins a destination that has come back and is still cold is as cold as the rest, with an empty budget.
+func ExampleSender_replacedWhileCold() {
+	set := plain()
+	set.Senders, set.Probing = 80, false
+	d := open(set).run(3*Second).take(0, 1, "p").ended(ConnectFailed, 0, "a", "p")
+	a := d.s.endpoints["a"]
+	d.run(2 * Second)
+	d.s.comeBack(a, d.clock)
+	d.s.ListNews([]Entry{{Endpoint: "new", Destination: 1, Rating: 10}, {Endpoint: "a", Destination: 1, Stage: Draining}}, false)
+	e := d.s.endpoints["new"]
+	fmt.Println("aside:", e.aside, "as cold:", e.coldFrom == a.coldFrom, "budget:", e.cold.level)
+	d.take(0, 1, "q", "r", "s")
+	// Output:
+	// 3000.0  dispatch p to a
+	// aside: false as cold: true budget: 0
+}
+
 // In a fleet a call to an endpoint where none was done yet gets the time-out of its kind, not that of half a contract
 // time: many such calls, unanswered, would hold the few slots for as long as a notice lives.
 func ExampleSender_likeItsKind() {
--- a/choice/order_test.go
+++ b/choice/order_test.go
@@ -63,6 +63,20 @@
 	// 10.0    dispatch next to c
 }
 
+// A head that no dispatch serves in time is shed when its time is over, which frees the next at once; one handed in again
+// joins at the end of its key.
+func ExampleSender_headWithoutTime() {
+	d := open(ordered())
+	d.s.ListNews([]Entry{{Endpoint: "c", Destination: 2, Kind: 1, Stage: Draining}}, false)
+	d.keyed("head", 3, 7, 2).s.TurnEnd()
+	d.run(2*Second).keyed("next", 3, 7, 1).keyed("again", 3, 7, 1).s.TurnEnd()
+	d.run(4*Second).ended(Done, 0, "a", "next")
+	// Output:
+	// 5490.1  shed head
+	// 5490.1  dispatch next to a
+	// 6000.0  dispatch again to a
+}
+
 // Heads of several keys, of two ordered workloads, share a call; two of one key never do, whatever their workloads.
 func ExampleSender_keysInABundle() {
 	d := open(ordered())
--- a/internal/sender/admit.go
+++ b/internal/sender/admit.go
@@ -48,7 +48,6 @@
 	out      *call
 	sure     bool   // a dispatch that may have run is on record
 	ranIn    string // the zone's name, where a dispatch may have run: numbers are the settings', and may change
-	strange  bool   // of a workload that the settings do not name
 	ending   ending
 	size     int64
 }
@@ -236,7 +235,7 @@
 		for _, n := range c.notices {
 			if s.limitsRepeat(n) && !n.sure {
 				n.sure = true
-				s.journal.Add(outRecord(n.ID, c.began, c.e.zoneName))
+				s.journal.Add(outRecord(n.ID, c.began, c.e.zone, c.e.zoneName))
 			}
 		}
 	}
@@ -314,7 +313,7 @@
 // Kinds of record. All hold the id; what else they hold stands beside them.
 const (
 	recTaken  = 'T' // all that was handed in, and the hard stop by the wall clock
-	recOut    = 'O' // a dispatch that may run: when, and to which zone, by number (before names were written) and name
+	recOut    = 'O' // a dispatch that may run: when, and to which zone, by number (all that older records have) and name
 	recBack   = 'B' // it is proven that none has run
 	recEnding = 'E' // what the platform is still to be told
 	recOver   = 'X' // nothing more is owed
@@ -331,8 +330,8 @@
 	return appendText(out, string(n.body))
 }
 
-func outRecord(id choice.NoticeID, at choice.Time, zone string) []byte {
-	return appendText(binary.AppendVarint(binary.AppendVarint(plainRecord(recOut, id), int64(at)), 0), zone)
+func outRecord(id choice.NoticeID, at choice.Time, zone choice.ZoneNo, name string) []byte {
+	return appendText(binary.AppendVarint(binary.AppendVarint(plainRecord(recOut, id), int64(at)), int64(zone)), name)
 }
 
 func plainRecord(kind byte, id choice.NoticeID) []byte { return appendText([]byte{kind}, string(id)) }
@@ -345,9 +344,9 @@
 func (n *notice) records(add func([]byte)) {
 	add(n.record())
 	if n.sure && n.MayRun {
-		add(outRecord(n.ID, n.RanAt, n.ranIn))
+		add(outRecord(n.ID, n.RanAt, n.RanIn, n.ranIn))
 	} else if n.sure && n.out != nil {
-		add(outRecord(n.ID, n.out.began, n.out.e.zoneName))
+		add(outRecord(n.ID, n.out.began, n.out.e.zone, n.out.e.zoneName))
 	}
 	if n.ending.what != endNone {
 		add(endingRecord(n))
@@ -369,7 +368,7 @@
 		s.live += n.size + endRecords
 		if n.ending.what != endNone {
 			s.endings = append(s.endings, n)
-		} else if n.strange {
+		} else if _, known := s.cfg.Workloads[n.workload]; !known {
 			strange[n.workload]++
 		} else {
 			unfinished = append(unfinished, n)
@@ -395,8 +394,7 @@
 		n.ID, n.key, n.workload = id, p.text(), p.text()
 		n.HardStop, n.Destination = choice.Time(p.number()), choice.DestinationID(p.number())
 		n.body = []byte(p.text())
-		w, known := s.cfg.Workloads[n.workload]
-		n.Workload, n.strange = w, !known
+		n.Workload = s.cfg.Workloads[n.workload] // an unknown one has the start refused, unless it is over
 		if p.broken {
 			s.log.Warn("journal: a notice cannot be read", zap.String("id", string(id)), zap.String("workload", n.workload))
 			return
@@ -415,6 +413,13 @@
 		if len(p.rest) > 0 {
 			n.ranIn = p.text()
 			n.RanIn = s.names.Zone(n.ranIn)
+		} else {
+			// Of before names were written, and so of these settings: from here on it goes by its name too.
+			for name, no := range s.cfg.Zones {
+				if no == n.RanIn {
+					n.ranIn = name
+				}
+			}
 		}
 	case recBack:
 		n.sure, n.MayRun = false, false
--- a/internal/sender/learnt.go
+++ b/internal/sender/learnt.go
@@ -51,16 +51,27 @@
 		s.log.Warn("learnt: not read, every endpoint starts afresh", zap.String("file", learntFile), zap.Error(err))
 		return
 	}
-	s.learnt = map[choice.EndpointID]learnt{}
+	s.learnt, s.learntAt = map[choice.EndpointID]learnt{}, l.At
 	for _, k := range l.Endpoints {
-		k.Wait = max(0, k.Wait-max(0, s.Now()-l.At))
-		if k.Mean > 0 && k.Dev >= 0 && k.Past > 0 && k.Seen >= 0 && k.Limit >= 0 && k.Wait < choice.Time(math.MaxInt32) {
+		if k.Mean > 0 && k.Dev >= 0 && k.Past > 0 && k.Seen >= 0 && k.Limit >= 0 && k.Wait >= 0 && k.Wait < math.MaxInt32 {
 			s.learnt[k.Endpoint] = k
 		}
 	}
 	s.log.Info("learnt", zap.Int("endpoints", len(s.learnt)), zap.Int("left_out", len(l.Endpoints)-len(s.learnt)))
 }
 
+// remembered gives what was learnt of an endpoint to its first entry, and once: later it is out of date. The wait has
+// run on meanwhile.
+func (s *Sender) remembered(e choice.Entry, addr string) *choice.Learnt {
+	k, is := s.learnt[e.Endpoint]
+	delete(s.learnt, e.Endpoint)
+	if !is || k.Addr != addr || k.Destination != e.Destination {
+		return nil
+	}
+	k.Wait = max(0, k.Wait-max(0, s.Now()-s.learntAt))
+	return &k.Learnt
+}
+
 // remind writes what the next life may keep, of as many endpoints as there is room for.
 func (s *Sender) remind() {
 	l := lesson{At: s.Now()}
--- a/internal/sender/move_test.go
+++ b/internal/sender/move_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"net"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -11,8 +10,6 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"flaxcove/choice"
 	"flaxcove/internal/config"
 	"flaxcove/internal/directory"
@@ -81,6 +78,42 @@
 	//    last
 }
 
+// A record of before zones had names tells a number of the settings it was written under. The first start after the
+// update reads it under these, and from a rewriting on it goes by the name.
+func Example_zoneOfOldRecord() {
+	dir, _ := os.MkdirTemp("", "sender")
+	two := strings.Replace(before, `["z"]`, `["q","z"]`, 1)
+	r := startAs(configureAs(dir, two, listBefore)).hand("OUT.ADD k of c=offer,d=20000,dest=1 x")
+	old := outRecord("of", r.s.Now(), 1, "")
+	r.s.journal.Add(old[:len(old)-1])
+	r.s.journal.Flush()
+	r = startAs(configureAs(dir, two, listBefore))
+	r.s.journal.Rewrite(func(add func([]byte)) { r.s.owed["of"].records(add) })
+	n := startAs(configureAs(dir, after, listAfter)).s.owed["of"]
+	fmt.Println("may have run:", n.MayRun, "in", n.ranIn, "which is", n.RanIn)
+	os.RemoveAll(dir)
+	// Output:
+	// call a: POST /inbox
+	//    of
+	// client: +OK
+	// may have run: true in z which is 1
+}
+
+// What an earlier life learnt is for the first entry of an endpoint: one that comes back to the list later is new.
+func Example_learntOnce() {
+	dir, _ := os.MkdirTemp("", "sender")
+	r := startAs(configureAs(dir, before, listBefore)).hand("OUT.ADD k of c=offer,d=20000,dest=1 x")
+	r.answer("HTTP/1.1 429 Wait\nRetry-After: 9\nContent-Length: 0\n\n").s.close()
+	r = startAs(configureAs(dir, before, listBefore))
+	fmt.Println("waits on:", r.s.module.Learnt("a").Wait > 8*choice.Second, "kept for later:", len(r.s.learnt))
+	os.RemoveAll(dir)
+	// Output:
+	// call a: POST /inbox
+	//    of
+	// client: +OK
+	// waits on: true kept for later: 0
+}
+
 // A workload that the new settings do not name would be lost with its notices: the start is refused and names it, the
 // folder stays as it is, and the old settings still serve it.
 func Example_moveWithoutWorkload() {
@@ -143,19 +176,7 @@
 	run := func(settings string, entries ...directory.Entry) (s *Sender, hand func(id, dest, body string), end func()) {
 		cfg := configureAs(dir, settings, `{"version":1,"full":true}`)
 		cfg.Listen, cfg.Discovery, cfg.Known.Servers = "127.0.0.1:0", addr, entries
-		s, err := Start(cfg, zap.NewNop())
-		if err != nil {
-			t.Fatal(err)
-		}
-		done := make(chan struct{})
-		go func() {
-			s.Run()
-			close(done)
-		}()
-		conn, err := net.Dial("tcp", s.Addr())
-		if err != nil {
-			t.Fatal(err)
-		}
+		s, conn, done := running(t, cfg)
 		in := bufio.NewReader(conn)
 		return s, func(id, dest, body string) {
 				conn.Write(resp.AppendCommand(nil, []byte("OUT.ADD"), []byte("k"), []byte(id), []byte("c=offer,d=20000,dest="+dest), []byte(body)))
--- a/internal/sender/route.go
+++ b/internal/sender/route.go
@@ -62,9 +62,7 @@
 		addrs[choice.EndpointID(entry.ID)], zones[choice.EndpointID(entry.ID)] = entry.Addr, entry.Zone
 	}
 	for i, entry := range entries {
-		if k, is := s.learnt[entry.Endpoint]; is && k.Addr == addrs[entry.Endpoint] && k.Destination == entry.Destination {
-			entries[i].Learnt = &k.Learnt
-		}
+		entries[i].Learnt = s.remembered(entry, addrs[entry.Endpoint])
 		e := s.endpoints[entry.Endpoint]
 		if e == nil {
 			e = &endpoint{id: entry.Endpoint}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -35,15 +35,16 @@
 
 // Sender is one running sender. All fields belong to the loop unless said otherwise.
 type Sender struct {
-	cfg    *config.Config
-	log    *zap.Logger
-	module *choice.Sender
-	learnt map[choice.EndpointID]learnt // by an earlier life; read as the list names its endpoints
-	names  directory.Names
-	start  time.Time            // Now counts from here by the monotonic clock, so that it never steps back
-	clock  func() time.Duration // since start
-	inbox  chan func()
-	stop   chan struct{} // closed at the end
+	cfg      *config.Config
+	log      *zap.Logger
+	module   *choice.Sender
+	learnt   map[choice.EndpointID]learnt // by an earlier life, at learntAt; each leaves as the list names it
+	learntAt choice.Time
+	names    directory.Names
+	start    time.Time            // Now counts from here by the monotonic clock, so that it never steps back
+	clock    func() time.Duration // since start
+	inbox    chan func()
+	stop     chan struct{} // closed at the end
 
 	timers   timers
 	timerNo  uint64
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -647,7 +647,7 @@
 func FuzzReplay(f *testing.F) {
 	n := &notice{key: "0", workload: "order"}
 	n.ID, n.HardStop = "id", 9e13
-	f.Add(n.record(), outRecord("id", 5, "z"))
+	f.Add(n.record(), outRecord("id", 5, 0, "z"))
 	f.Add(n.record(), endingRecord(&notice{Notice: n.Notice, ending: ending{what: endGivenUp}}))
 	f.Fuzz(func(t *testing.T, first, second []byte) {
 		dir := t.TempDir()
--- a/internal/sender/sockets_test.go
+++ b/internal/sender/sockets_test.go
@@ -17,6 +17,7 @@
 	"github.com/cloudwego/netpoll"
 	"go.uber.org/zap"
 
+	"flaxcove/internal/config"
 	"flaxcove/internal/directory"
 	"flaxcove/internal/resp"
 )
@@ -71,6 +72,24 @@
 	}
 }
 
+// running is a sender that serves on sockets, a client's connection to it, and its end.
+func running(t *testing.T, cfg *config.Config) (*Sender, net.Conn, <-chan struct{}) {
+	s, err := Start(cfg, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		s.Run()
+		close(done)
+	}()
+	conn, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, conn, done
+}
+
 // Over real sockets, each notice ends as its endpoint's answer says, wherever the connection then breaks; a broken
 // command is answered once and closed; and a planned end leaves nothing behind.
 func TestSockets(t *testing.T) {
@@ -103,19 +122,7 @@
 	for i := range answers {
 		cfg.Known.Servers = append(cfg.Known.Servers, directory.Entry{ID: answers[i].id, Addr: addr, Zone: "z", Kind: "one", Cell: float64(i), State: "up", Weight: 100})
 	}
-	s, err := Start(cfg, zap.NewNop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	done := make(chan struct{})
-	go func() {
-		s.Run()
-		close(done)
-	}()
-	conn, err := net.Dial("tcp", s.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
+	s, conn, done := running(t, cfg)
 	in := bufio.NewReader(conn)
 	for i, a := range answers {
 		hold := "20000"
