--- a/internal/sender/admit.go
+++ b/internal/sender/admit.go
@@ -58,6 +58,7 @@
 	order    []*notice // those owed in the order taken on, with ended ones among them until a rewriting
 	admitted []*notice // of this turn
 	live     int64     // bytes that a rewriting would keep, at most
+	unnamed  []*notice // whose record tells a zone by number alone, until the start has written their names
 
 	ended    map[choice.NoticeID]struct{} // taken on and over; the oldest leaves for the newest
 	endedIDs []choice.NoticeID            // in a ring
@@ -379,6 +380,15 @@
 		return nil, errors.Join(fmt.Errorf("field state: %s owes %d notices of workload %q, which field settings.classes does not name; "+
 			"end them under the settings that they came with", s.cfg.State, strange[workload], workload), j.Close())
 	}
+	for _, n := range s.unnamed {
+		if n.MayRun && s.owed[n.ID] == n {
+			j.Add(outRecord(n.ID, n.RanAt, n.RanIn, n.ranIn))
+		}
+	}
+	s.unnamed = nil
+	if err := j.Flush(); err != nil {
+		return nil, errors.Join(err, j.Close())
+	}
 	s.counts.replayed = int64(len(s.order))
 	s.log.Info("journal open", zap.Int("owed", len(s.order)), zap.Int64("bytes", j.Size()), zap.Int64("dropped", dropped))
 	return unfinished, nil
@@ -414,12 +424,13 @@
 			n.ranIn = p.text()
 			n.RanIn = s.names.Zone(n.ranIn)
 		} else {
-			// Of before names were written, and so of these settings: from here on it goes by its name too.
+			// Of before names were written, and so of these settings.
 			for name, no := range s.cfg.Zones {
 				if no == n.RanIn {
 					n.ranIn = name
 				}
 			}
+			s.unnamed = append(s.unnamed, n)
 		}
 	case recBack:
 		n.sure, n.MayRun = false, false
--- a/internal/sender/move_test.go
+++ b/internal/sender/move_test.go
@@ -79,16 +79,15 @@
 }
 
 // A record of before zones had names tells a number of the settings it was written under. The first start after the
-// update reads it under these, and from a rewriting on it goes by the name.
+// update reads it under these and writes the name, so that the move after it finds the zone, whatever becomes of the process.
 func Example_zoneOfOldRecord() {
 	dir, _ := os.MkdirTemp("", "sender")
-	two := strings.Replace(before, `["z"]`, `["q","z"]`, 1)
+	two := strings.Replace(before, `["z"]`, `["q","r","z"]`, 1)
 	r := startAs(configureAs(dir, two, listBefore)).hand("OUT.ADD k of c=offer,d=20000,dest=1 x")
-	old := outRecord("of", r.s.Now(), 1, "")
+	old := outRecord("of", r.s.Now(), 2, "")
 	r.s.journal.Add(old[:len(old)-1])
 	r.s.journal.Flush()
-	r = startAs(configureAs(dir, two, listBefore))
-	r.s.journal.Rewrite(func(add func([]byte)) { r.s.owed["of"].records(add) })
+	startAs(configureAs(dir, two, listBefore))
 	n := startAs(configureAs(dir, after, listAfter)).s.owed["of"]
 	fmt.Println("may have run:", n.MayRun, "in", n.ranIn, "which is", n.RanIn)
 	os.RemoveAll(dir)
