--- /dev/null
+++ b/lab/cluster/play/play.go
@@ -0,0 +1,160 @@
+// Package play runs a schedule: real processes of the program, a world of partners, and relays between the processes.
+//
+// It owns the run's set-up and its faults (faults.go) and what is asked of the processes meanwhile (watch.go). The world, its endpoints'
+// sockets and the referee are lab/live's; the verdict on the cluster is lab/cluster/judge's. It must never leave a
+// process, a relay or a file behind.
+package play
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"flaxcove/choice"
+	"flaxcove/internal/cluster/status"
+	"flaxcove/lab/cluster/judge"
+	"flaxcove/lab/cluster/mesh"
+	"flaxcove/lab/cluster/schedule"
+	"flaxcove/lab/live"
+	"flaxcove/lab/referee"
+	"flaxcove/lab/world"
+)
+
+// Options are what a schedule is played with.
+type Options struct {
+	Schedule *schedule.Schedule
+	Command  []string // the program and its arguments, as in flaxcove serve
+	Port     int      // from which on relays look for free ones
+	Uses     []string // of the cluster; nil for failover and purges, an empty one for no cluster at all
+	Logs     string
+	// Spec changes the world before it begins; nil for none.
+	Spec func(*world.Spec)
+	// Saw hears what processes told, each time that they were asked; nil for none.
+	Saw func(now choice.Time, all []*status.Status)
+}
+
+// Result is what became of it.
+type Result struct {
+	*live.Result
+	Breaks  []judge.Break // of the cluster's promises
+	Excused int           // breaks of the referee's that the schedule itself asked for: an emptied folder
+	Epochs  int
+	Last    []*status.Status
+	Purges  []PurgeTold
+	// SettledMS is how long after the last fault all saw the same again.
+	SettledMS int64
+}
+
+// Run plays one.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	if o.Uses == nil {
+		o.Uses = []string{"failover", "purges"}
+	}
+	p := &player{o: o, s: o.Schedule, judge: judge.New(), kinds: map[choice.NoticeID]kind{}, emptied: map[world.SenderNo]choice.Time{}}
+	spec := worldOf(p.s)
+	if o.Spec != nil {
+		o.Spec(spec)
+	}
+	if problems := spec.Check(); problems != nil {
+		return nil, problems[0]
+	}
+	if len(o.Uses) > 0 {
+		if err := p.openMesh(); err != nil {
+			return nil, err
+		}
+		defer p.mesh.Close()
+	}
+	r, err := live.Run(ctx, live.Options{Spec: spec, Seed: p.s.Seed, Command: o.Command, Logs: o.Logs,
+		With: p.with, Ledger: func(referee world.Ledger) world.Ledger { return &ear{referee, p} }, Begun: p.begun, Busy: p.busy})
+	p.wait()
+	if err != nil {
+		return nil, err
+	}
+	out := &Result{Result: r, Last: p.last, Epochs: p.judge.Epochs(), Purges: p.told, SettledMS: p.settledMS}
+	out.Excused = p.excuse(r.Verdict)
+	if len(o.Uses) > 0 {
+		out.Breaks = p.judge.End(p.apart)
+	}
+	return out, nil
+}
+
+// excuse takes out of a verdict what a process lost that the schedule itself took the folder of.
+func (p *player) excuse(v *referee.Verdict) (n int) {
+	longest := 0.0
+	for i := range p.spec.Workloads {
+		longest = max(longest, p.spec.Workloads[i].HardStopMS/1000)
+	}
+	v.Breaks = slices.DeleteFunc(v.Breaks, func(b referee.Break) bool {
+		at, is := p.emptied[world.SenderNo(b.Sender)]
+		from := float64(at) / float64(choice.Second)
+		out := is && b.Rule == referee.Lost && b.At >= from && b.At < from+longest+2
+		if out {
+			v.Rules[b.Rule]--
+			n++
+		}
+		return out
+	})
+	return n
+}
+
+// worldOf is the world of a schedule: four partners with an endpoint in each of up to four zones.
+func worldOf(s *schedule.Schedule) *world.Spec {
+	spec := world.Base()
+	spec.Name, spec.Seconds, spec.Senders, spec.Zones = s.Name, s.Seconds, s.Processes, s.Zones
+	spec.Load.Rate = s.Rate
+	spec.Workloads = []world.Workload{
+		{Name: "status", Share: 3, ContractMS: 800, HardStopMS: 4000},
+		{Name: "order", Repeat: "single-use", Share: 1, ContractMS: 1500, HardStopMS: 5000, Gain: 3}}
+	ends := float64(min(4, s.Zones))
+	spec.Partners = []world.Kind{{Name: "shop", Count: 4, Endpoints: world.Pair{ends, ends}, Headroom: world.Pair{3, 4}, LeastRate: 40, Reports: true}}
+	for _, f := range s.Faults {
+		t := world.Trouble{At: f.At, Seconds: f.Seconds, Part: world.Part{Senders: f.From}}
+		switch f.Kind {
+		case "zone":
+			t.Kind, t.Part = "silent", world.Part{Zone: f.Zone}
+		case "stop":
+			t.Kind = "sender_pause"
+		case "kill":
+			t.Kind = "sender_kill"
+		default:
+			continue
+		}
+		spec.Troubles = append(spec.Troubles, t)
+	}
+	spec.Defaults()
+	return &spec
+}
+
+func (p *player) openMesh() (err error) {
+	all := mesh.Options{Cluster: "lab", Uses: p.o.Uses}
+	for i := range p.s.Processes {
+		zone := i % p.s.Zones
+		all.Processes = append(all.Processes, mesh.Process{Name: fmt.Sprintf("s%d", i), Zone: fmt.Sprintf("z%d", zone),
+			Region: fmt.Sprintf("r%d", zone%p.s.Regions), Small: slices.Contains(p.s.Small, i)})
+	}
+	for i := range min(5, p.s.Processes, max(3, p.s.Processes/2*2-1)) {
+		if !slices.Contains(p.s.Small, i) {
+			all.Founders = append(all.Founders, all.Processes[i].Name)
+		}
+	}
+	p.all = all
+	p.mesh, err = mesh.Open(all, max(p.o.Port, 30000+os.Getpid()%500*40))
+	return err
+}
+
+// with gives a process its cluster file.
+func (p *player) with(s world.SenderNo, home string) ([]string, error) {
+	if p.mesh == nil {
+		return nil, nil
+	}
+	folder := filepath.Join(home, "cluster")
+	p.folders = append(p.folders, folder)
+	text, err := p.mesh.File(int(s), folder)
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(home, "cluster.toml")
+	return []string{"--cluster", path}, os.WriteFile(path, text, 0o644)
+}
--- /dev/null
+++ b/lab/cluster/play/watch.go
@@ -0,0 +1,277 @@
+package play
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"flaxcove/choice"
+	"flaxcove/internal/cluster/status"
+	"flaxcove/lab/cluster/judge"
+	"flaxcove/lab/cluster/mesh"
+	"flaxcove/lab/cluster/schedule"
+	"flaxcove/lab/live"
+	"flaxcove/lab/world"
+)
+
+// This file asks the processes, from outside and past all relays, what they see, and gives them purges.
+
+const (
+	askEvery   = 150 * time.Millisecond
+	askFor     = 700 * time.Millisecond
+	settleFor  = 40 * time.Second // after the last fault, before what still differs is a break
+	purgeFor   = 40 * time.Second
+	purgeAgain = 300 * time.Millisecond
+)
+
+// kind is what a purge is matched by.
+type kind struct {
+	destination int
+	workload    string
+}
+
+// PurgeTold is what a purge's caller was told, by the run's clock in tenths of a millisecond.
+type PurgeTold struct {
+	ID                       string
+	Given, Decided, Complete choice.Time
+	Tries                    int
+	Whole                    string
+}
+
+type player struct {
+	o       Options
+	s       *schedule.Schedule
+	spec    *world.Spec
+	mesh    *mesh.Mesh
+	all     mesh.Options
+	folders []string
+	client  http.Client
+	wg      sync.WaitGroup
+	stop    context.CancelFunc
+
+	// What follows belongs to the world's goroutine.
+	judge     *judge.Judge
+	kinds     map[choice.NoticeID]kind
+	emptied   map[world.SenderNo]choice.Time
+	told      []PurgeTold
+	last      []*status.Status
+	apart     []string
+	settled   bool
+	settledMS int64
+	open      int // purges that are not complete
+
+	mu     sync.Mutex
+	leader string
+}
+
+// ear hears the ledger before the referee does.
+type ear struct {
+	world.Ledger
+	p *player
+}
+
+func (e *ear) Heard(h *world.HandIn, what world.Heard) {
+	if what == world.HeardOK {
+		e.p.kinds[h.ID] = kind{int(h.Ask.Partner), h.Ask.Workload.Name}
+		e.p.judge.Taken(h.ID, h.At)
+	}
+	e.Ledger.Heard(h, what)
+}
+
+func (e *ear) Began(c *world.Call) {
+	for _, h := range c.Notices {
+		e.p.judge.Began(h.ID, c.SentAt)
+	}
+	e.Ledger.Began(c)
+}
+
+func (p *player) begun(h *live.Hold) {
+	p.spec = h.World().Spec
+	if p.mesh == nil {
+		return
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	p.plan(h)
+	p.wg.Add(1)
+	go p.watch(ctx, h)
+	for i := range p.s.Purges {
+		p.open++
+		h.After(seconds(p.s.Purges[i].At), func() { p.give(ctx, h, i) })
+	}
+}
+
+func (p *player) busy() bool { return p.mesh != nil && (!p.settled || p.open > 0) && p.apart == nil }
+
+func (p *player) wait() {
+	if p.stop != nil {
+		p.stop()
+	}
+	p.wg.Wait()
+	p.client.CloseIdleConnections()
+}
+
+// watch asks all processes again and again.
+func (p *player) watch(ctx context.Context, h *live.Hold) {
+	defer p.wg.Done()
+	for ctx.Err() == nil {
+		all := p.askAll(ctx)
+		h.Post(func() { p.saw(h, all) })
+		select {
+		case <-ctx.Done():
+		case <-time.After(askEvery):
+		}
+	}
+}
+
+func (p *player) askAll(ctx context.Context) (all []*status.Status) {
+	answers := make([]*status.Status, p.s.Processes)
+	var wg sync.WaitGroup
+	for i := range answers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var s status.Status
+			if p.ask(ctx, i, "GET", "/v1/cluster", nil, &s) == http.StatusOK {
+				answers[i] = &s
+			}
+		}()
+	}
+	wg.Wait()
+	for _, s := range answers {
+		if s != nil {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+// ask is one call to a process's own listener; 0 where no answer came.
+func (p *player) ask(ctx context.Context, i int, method, path string, in, out any) int {
+	ctx, cancel := context.WithTimeout(ctx, askFor)
+	defer cancel()
+	body, _ := json.Marshal(in)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.mesh.HTTP(i)+path, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if json.NewDecoder(resp.Body).Decode(out) != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// saw judges what was told; on the world's goroutine.
+func (p *player) saw(h *live.Hold, all []*status.Status) {
+	votes := map[string]int{}
+	for _, s := range all {
+		p.judge.Saw(s)
+		votes[string(s.Leader)]++
+	}
+	p.mu.Lock()
+	for name, n := range votes {
+		if name != "" && n > len(all)/2 {
+			p.leader = name
+		}
+	}
+	p.mu.Unlock()
+	p.last = all
+	if p.o.Saw != nil {
+		p.o.Saw(h.Now(), all)
+	}
+	healed := seconds(p.s.Healed())
+	if h.Now() <= healed || p.settled {
+		return
+	}
+	why := judge.Settled(all, p.s.Processes, p.uses("failover"))
+	late := h.Now()-healed > choice.Time(settleFor/(100*time.Microsecond))
+	if len(why) == 0 {
+		p.settled, p.settledMS = true, int64((h.Now()-healed)/choice.Millisecond)
+	} else if late {
+		p.apart = why
+	}
+}
+
+func (p *player) uses(what string) bool {
+	for _, use := range p.o.Uses {
+		if use == what {
+			return true
+		}
+	}
+	return false
+}
+
+// give hands a purge to a process, and to the next where that does not answer, until it is known to be decided; then
+// it asks until it is complete.
+func (p *player) give(ctx context.Context, h *live.Hold, no int) {
+	order := &p.s.Purges[no]
+	id := fmt.Sprintf("%s-%d", p.s.Name, no)
+	want := kind{order.Destination, order.Workload}
+	p.judge.Opened(id, h.Now(), func(n choice.NoticeID) bool {
+		k, known := p.kinds[n]
+		return order.Subject == "notices" && known && k.destination == want.destination && (want.workload == "" || k.workload == want.workload)
+	})
+	told := PurgeTold{ID: id, Given: h.Now()}
+	body := map[string]any{"id": id, "subject": order.Subject, "who": "laboratory", "why": "schedule " + p.s.Name,
+		"match": map[string]any{"destination": order.Destination, "workload": order.Workload}}
+	p.wg.Add(1)
+	go func() {
+		defer p.wg.Done()
+		deadline := time.Now().Add(purgeFor)
+		by, decided := order.By, false
+		var decidedIn, tries = time.Duration(0), 0
+		began := time.Now()
+		for ctx.Err() == nil && time.Now().Before(deadline) {
+			tries++
+			var answer struct {
+				Whole string `json:"whole"`
+			}
+			var code int
+			if !decided {
+				code = p.ask(ctx, by, "POST", "/v1/purges", body, &answer)
+				decided = code == http.StatusAccepted || code == http.StatusOK
+				decidedIn = time.Since(began)
+			} else {
+				code = p.ask(ctx, by, "GET", "/v1/purges/"+id, nil, &answer)
+			}
+			if answer.Whole == "complete" || answer.Whole == "complete_with_lapsed" {
+				h.Post(func() {
+					told.Decided, told.Complete = told.Given+tenths(decidedIn), h.Now()
+					told.Tries, told.Whole = tries, answer.Whole
+					p.told = append(p.told, told)
+					p.judge.Complete(id, h.Now(), answer.Whole != "complete")
+					p.open--
+				})
+				return
+			}
+			if code/100 != 2 {
+				by = (by + 1) % p.s.Processes
+			}
+			wait := purgeAgain
+			if decided {
+				wait = 50 * time.Millisecond
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(wait):
+			}
+		}
+		h.Post(func() {
+			told.Tries = tries
+			p.told = append(p.told, told)
+			p.open--
+		})
+	}()
+}
+
+func tenths(d time.Duration) choice.Time { return choice.Time(d / (100 * time.Microsecond)) }
--- /dev/null
+++ b/lab/cluster/relay/datagram.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"errors"
+	"net"
+	"time"
+)
+
+// This file carries datagrams: each sender has a port of its own towards the other, so that answers find back.
+
+type flow struct {
+	out   *net.UDPConn
+	heard time.Time
+}
+
+func (r *Relay) datagrams() {
+	defer r.wg.Done()
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := r.udp.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		f := r.flow(from)
+		if f == nil {
+			continue
+		}
+		r.send(append([]byte(nil), buf[:n]...), Forth, func(b []byte) { f.out.Write(b) })
+	}
+}
+
+// send hands a datagram on, now or later; what is stalled is lost, as no network keeps datagrams.
+func (r *Relay) send(b []byte, d Direction, write func([]byte)) {
+	f, closed := r.fault(d)
+	if closed || f.Drop || f.Stall {
+		return
+	}
+	if f.Delay == 0 {
+		write(b)
+		return
+	}
+	time.AfterFunc(f.Delay, func() { write(b) })
+}
+
+func (r *Relay) flow(from *net.UDPAddr) *flow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if f := r.flows[from.String()]; f != nil {
+		f.heard = now
+		return f
+	}
+	for key, f := range r.flows {
+		if now.Sub(f.heard) > idleFlow {
+			f.out.Close()
+			delete(r.flows, key)
+		}
+	}
+	if r.closed || len(r.flows) >= mostFlow {
+		return nil
+	}
+	to, err := net.ResolveUDPAddr("udp", r.target)
+	if err != nil {
+		return nil
+	}
+	out, err := net.DialUDP("udp", nil, to)
+	if err != nil {
+		return nil
+	}
+	f := &flow{out, now}
+	r.flows[from.String()] = f
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		buf := make([]byte, 64<<10)
+		for {
+			n, err := out.Read(buf)
+			if err != nil {
+				if err, is := err.(net.Error); is && !err.Timeout() && !isClosed(err) {
+					continue // nobody listens there now: told by the system for an earlier datagram
+				}
+				return
+			}
+			r.send(append([]byte(nil), buf[:n]...), Back, func(b []byte) { r.udp.WriteToUDP(b, from) })
+		}
+	}()
+	return f
+}
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- /dev/null
+++ b/lab/cluster/relay/relay_test.go
@@ -0,0 +1,121 @@
+package relay
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echo answers every line and every datagram with itself.
+func echo(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: ln.Addr().(*net.TCPAddr).Port})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close(); udp.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				io.Copy(c, c)
+			}()
+		}
+	}()
+	go func() {
+		buf := make([]byte, 2048)
+		for {
+			n, from, err := udp.ReadFromUDP(buf)
+			if err != nil {
+				return
+			}
+			udp.WriteToUDP(buf[:n], from)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func open(t *testing.T) *Relay {
+	r, err := Open("127.0.0.1:0", echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+// says writes a line and tells whether it came back within a time.
+func says(c net.Conn, line string, within time.Duration) error {
+	c.SetDeadline(time.Now().Add(within))
+	if _, err := io.WriteString(c, line+"\n"); err != nil {
+		return err
+	}
+	got, err := bufio.NewReader(c).ReadString('\n')
+	if err == nil && got != line+"\n" {
+		return errors.New("came back as " + got)
+	}
+	return err
+}
+
+func dial(t *testing.T, network string, r *Relay) net.Conn {
+	c, err := net.Dial(network, r.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func TestFaults(t *testing.T) {
+	const long, short = 5 * time.Second, 60 * time.Millisecond
+	for _, d := range []Direction{Forth, Back} {
+		r := open(t)
+		for _, network := range []string{"tcp", "udp"} {
+			c := dial(t, network, r)
+			if err := says(c, "before", long); err != nil {
+				t.Fatalf("%s, no fault: %v", network, err)
+			}
+			r.Set(d, Fault{Drop: true})
+			if err := says(c, "lost", short); !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("%s, direction %d cut: %v, want silence", network, d, err)
+			}
+			r.Set(d, Fault{})
+		}
+		c := dial(t, "tcp", r)
+		r.Set(d, Fault{Stall: true})
+		time.AfterFunc(short, func() { r.Set(d, Fault{}) })
+		began := time.Now()
+		if err := says(c, "held back", long); err != nil || time.Since(began) < short {
+			t.Errorf("direction %d stalled: %v after %v", d, err, time.Since(began))
+		}
+		r.Set(d, Fault{Delay: short})
+		began = time.Now()
+		if err := says(c, "late", long); err != nil || time.Since(began) < short {
+			t.Errorf("direction %d late: %v after %v", d, err, time.Since(began))
+		}
+		r.Reset()
+		if err := says(c, "reset", long); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("after a reset: %v", err)
+		}
+	}
+	r := open(t)
+	r.Set(Forth, Fault{Refuse: true})
+	if err := says(dial(t, "tcp", r), "refused", long); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a refused connection: %v", err)
+	}
+}
--- /dev/null
+++ b/lab/cluster/schedule/draw.go
@@ -0,0 +1,63 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+)
+
+// Size is how large drawn schedules are.
+type Size struct {
+	Processes, Zones, Regions int
+	Seconds, Rate             float64
+	Faults                    int // at most
+	Purges                    int
+}
+
+var drawn = []string{"cut", "one_way", "flap", "stall", "late", "reset", "stop", "kill", "empty", "leader", "zone"}
+
+// Draw makes a schedule from a seed: the same one each time. What could make its verdict hang on luck is left out: all
+// faults end two seconds before the traffic does, and at most one process has its folder emptied, as what it owed is lost.
+func Draw(seed uint64, size Size) *Schedule {
+	r := rand.New(rand.NewPCG(seed, 0xc105))
+	s := &Schedule{Name: fmt.Sprintf("drawn-%d", seed), Seed: seed, Processes: size.Processes, Zones: size.Zones,
+		Regions: size.Regions, Seconds: size.Seconds, Rate: size.Rate}
+	last := size.Seconds - 2
+	emptied := false
+	for range 1 + r.IntN(max(1, size.Faults)) {
+		f := Fault{Kind: drawn[r.IntN(len(drawn))], At: tenth(1 + r.Float64()*(last-2)), MS: float64(20 + r.IntN(300)), Every: 0.5 + float64(r.IntN(4))/2}
+		f.Seconds = tenth(min(0.5+r.Float64()*4, last-f.At))
+		group := 1 + r.IntN(max(1, (size.Processes-1)/2))
+		f.From = r.Perm(size.Processes)[:group]
+		slices.Sort(f.From)
+		f.Zone = 1 + r.IntN(size.Zones)
+		switch f.Kind {
+		case "stop", "kill":
+			f.From = f.From[:min(2, len(f.From))]
+		case "empty":
+			if emptied {
+				continue
+			}
+			emptied, f.From = true, f.From[:1]
+		case "leader", "zone":
+			f.From = nil
+		}
+		if f.Kind != "late" {
+			f.MS = 0
+		}
+		if f.Kind != "flap" {
+			f.Every = 0
+		}
+		if f.Kind != "zone" {
+			f.Zone = 0
+		}
+		s.Faults = append(s.Faults, f)
+	}
+	for range size.Purges {
+		s.Purges = append(s.Purges, Purge{At: tenth(1 + r.Float64()*(last-1)), By: r.IntN(size.Processes), Subject: "notices",
+			Destination: r.IntN(4), Workload: []string{"", "status", "order"}[r.IntN(3)]})
+	}
+	return s
+}
+
+func tenth(v float64) float64 { return float64(int(v*10)) / 10 }
--- /dev/null
+++ b/lab/cluster/schedule/shrink.go
@@ -0,0 +1,46 @@
+package schedule
+
+// Shrink leaves out of a failing schedule what it fails without, one thing at a time, as long as fails says that it
+// still does. It asks at most so many times.
+func Shrink(s *Schedule, asks int, fails func(*Schedule) bool) *Schedule {
+	for again := true; again; {
+		again = false
+		for _, smaller := range s.without() {
+			if asks--; asks < 0 {
+				return s
+			}
+			if fails(smaller) {
+				s, again = smaller, true
+				break
+			}
+		}
+	}
+	return s
+}
+
+// without are all schedules that lack one thing: a purge, a fault, or one of the processes that a fault strikes.
+func (s *Schedule) without() (all []*Schedule) {
+	for i := range s.Faults {
+		c := *s
+		c.Faults = append(append([]Fault(nil), s.Faults[:i]...), s.Faults[i+1:]...)
+		all = append(all, &c)
+	}
+	for i := range s.Purges {
+		c := *s
+		c.Purges = append(append([]Purge(nil), s.Purges[:i]...), s.Purges[i+1:]...)
+		all = append(all, &c)
+	}
+	for i := range s.Faults {
+		for j := range s.Faults[i].From {
+			if len(s.Faults[i].From) == 1 {
+				break
+			}
+			c := *s
+			c.Faults = append([]Fault(nil), s.Faults...)
+			f := &c.Faults[i]
+			f.From = append(append([]int(nil), f.From[:j]...), f.From[j+1:]...)
+			all = append(all, &c)
+		}
+	}
+	return all
+}
--- a/lab/live/live.go
+++ b/lab/live/live.go
@@ -53,6 +53,14 @@
 	KeepVerdict bool
 	// Settings changes the settings object that senders are told, for a variant; nil for none.
 	Settings func(text []byte) []byte
+	// With names further arguments of a sender's command; home is its own folder. Asked once, before any starts.
+	With func(s world.SenderNo, home string) ([]string, error)
+	// Ledger stands before the referee and hears all that it hears; nil for none.
+	Ledger func(referee world.Ledger) world.Ledger
+	// Begun is called as the world begins, on its goroutine, with a hold on the run.
+	Begun func(*Hold)
+	// Busy has the run go on past its end while it holds, for what the caller still waits for; nil for never.
+	Busy func() bool
 }
 
 // Figures are the senders' own, measured from outside.
@@ -122,6 +130,9 @@
 	e.w = w
 	e.judge = referee.New(o.Spec, w.Now, slack)
 	late.Ledger = e.judge
+	if o.Ledger != nil {
+		late.Ledger = o.Ledger(e.judge)
+	}
 	e.bodies = make([]byte, 64<<10)
 	for i := range e.bodies {
 		e.bodies[i] = 'a' + byte(i%26)
@@ -216,7 +227,8 @@
 				e.o.Watch(now)
 			}
 		}
-		if now > end || now > e.w.End()+choice.Second/2 && e.judge.Pending() == 0 {
+		over := now > end || now > e.w.End()+choice.Second/2 && e.judge.Pending() == 0
+		if over && (e.o.Busy == nil || !e.o.Busy()) {
 			return
 		}
 		in := time.Second / 4
@@ -370,6 +382,9 @@
 	}
 	e.start, e.began = time.Now(), true
 	e.w.Begin()
+	if e.o.Begun != nil {
+		e.o.Begun(&Hold{e})
+	}
 	return nil
 }
 
--- a/lab/live/process.go
+++ b/lab/live/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -27,6 +28,8 @@
 	no     world.SenderNo
 	config string
 	state  string
+	home   string
+	more   []string // arguments of its command
 
 	cmd      *exec.Cmd
 	exited   chan struct{}
@@ -47,6 +50,12 @@
 		return nil, err
 	}
 	p.config = filepath.Join(home, "config.json")
+	p.home = home
+	if e.o.With != nil {
+		if p.more, err = e.o.With(s, home); err != nil {
+			return nil, err
+		}
+	}
 	text, err := p.configuration()
 	if err != nil {
 		return nil, err
@@ -128,7 +137,7 @@
 }
 
 func (p *process) spawn() error {
-	cmd := exec.Command(p.e.o.Command[0], p.e.o.Command[1:]...)
+	cmd := exec.Command(p.e.o.Command[0], slices.Concat(p.e.o.Command[1:], p.more)...)
 	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+p.config, "EDGE_NAME=", "EDGE_LISTEN=", "EDGE_DISCOVERY=", "EDGE_STATE=")
 	for name, value := range p.e.o.Binding {
 		cmd.Env = append(cmd.Env, name+"="+value)
