--- a/cmd/flaxcove/main.go
+++ b/cmd/flaxcove/main.go
@@ -35,6 +35,7 @@
 		Usage: "take notices from clients and deliver them to partners' endpoints",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "run one sender, as EDGE_CONFIG and the other EDGE_ variables say", Action: serve, Flags: []cli.Flag{
+				&cli.BoolFlag{Name: "notes", Usage: "tell other senders of limits met and hear them, where the configuration allows it"},
 				&cli.StringFlag{Name: "profile", Usage: "write a CPU profile of the whole run to this file"},
 				&cli.BoolFlag{Name: "trace", Usage: "log each step of each notice too, by its id, and the settings once"}}},
 			{Name: "add", Usage: "hand one notice to a running sender", ArgsUsage: "BODY", Action: add, Flags: []cli.Flag{addr,
@@ -80,6 +81,12 @@
 		return err
 	}
 	defer log.Sync()
+	notes := c.Bool("notes")
+	if notes {
+		if err := cfg.TurnOnNotes(); err != nil {
+			log.Warn("notes stay off", zap.Error(err))
+		}
+	}
 	// A log that nobody reads any more must not end the process.
 	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, 1)
@@ -105,7 +112,11 @@
 	}()
 	go func() {
 		for range hups {
-			s.Reload(config.Reload(os.Getenv))
+			fresh, err := config.Reload(os.Getenv)
+			if notes && err == nil {
+				_ = fresh.TurnOnNotes() // why not was told at the start
+			}
+			s.Reload(fresh, err)
 		}
 	}()
 	log.Debug("configuration", zap.Any("settings", cfg.Settings), zap.Any("limits", cfg.Limits), zap.Any("known", cfg.Known))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,11 @@
 	Kinds     map[string]choice.KindNo
 	Reports   []string // fields of load reports
 	Settings  choice.Settings
+
+	PeerListen string   // where notes of other senders arrive; empty for nowhere
+	Peers      []string // the address of each sender of the tier, by number
+	PeersAll   string   // the address that reaches all of them; empty for none
+	mayNote    bool     // the settings allow notes between senders
 }
 
 // Limits bind all that the program holds.
@@ -50,6 +55,10 @@
 	Limits    Limits         `json:"limits"`
 	Known     directory.List `json:"known"`
 	Settings  *Boot          `json:"settings"`
+
+	PeerListen string   `json:"peer_listen"`
+	Peers      []string `json:"peers"`
+	PeersAll   string   `json:"peers_all"`
 }
 
 // Reload reads the file anew for a running sender. The other variables still go before it, but not EDGE_DISCOVERY:
@@ -74,6 +83,7 @@
 		{"limits", c.Limits, fresh.Limits}, {"settings", c.Settings, fresh.Settings},
 		{"settings.classes", c.Workloads, fresh.Workloads}, {"settings.zones", c.Zones, fresh.Zones},
 		{"settings.machineTypes", c.Kinds, fresh.Kinds}, {"settings.stats.fields", c.Reports, fresh.Reports},
+		{"peer_listen", c.PeerListen, fresh.PeerListen}, {"peers", c.Peers, fresh.Peers}, {"peers_all", c.PeersAll, fresh.PeersAll},
 	} {
 		if !reflect.DeepEqual(f.old, f.new) {
 			fields = append(fields, f.name)
@@ -82,6 +92,21 @@
 	return fields
 }
 
+// TurnOnNotes has notes go between senders, where that can be: the settings allow them, and the file says where they go.
+// Else it tells why not, and nothing is changed.
+func (c *Config) TurnOnNotes() error {
+	switch {
+	case !c.mayNote:
+		return errors.New("field settings: bounds.peers: notes are not allowed")
+	case c.PeerListen == "":
+		return errors.New("field peer_listen: missing")
+	case len(c.Peers) == 0:
+		return errors.New("field peers: missing")
+	}
+	c.Settings.Notes = true
+	return nil
+}
+
 // Load reads the file that EDGE_CONFIG names; the other EDGE_ variables go before what it says.
 func Load(getenv func(string) string) (*Config, error) {
 	path := getenv("EDGE_CONFIG")
@@ -150,6 +175,9 @@
 	if c.Settings, err = f.Settings.Settings(true); err != nil {
 		return nil, fmt.Errorf("field settings: %w", err)
 	}
+	// What the settings allow is not yet wanted: notes are off until TurnOnNotes.
+	c.mayNote, c.Settings.Notes = c.Settings.Notes, false
+	c.PeerListen, c.Peers, c.PeersAll = f.PeerListen, f.Peers, f.PeersAll
 	if c.Settings.Slots == 0 {
 		return nil, errors.New("field settings: extra.callsOut: missing")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -59,3 +59,29 @@
 	// FILE: field settings: missing
 	// FILE: invalid character ',' looking for beginning of object key string
 }
+
+// Notes are on only where they are wanted, the settings allow them, and the file says where they go.
+func ExampleConfig_TurnOnNotes() {
+	const allowed = `"extra":{"callsOut":4},"bounds":{"peers":true}`
+	peers := `{"peer_listen":"127.0.0.1:3","peers":["127.0.0.1:3","127.0.0.1:4"],"peers_all":"127.0.0.1:5",`
+	whole := strings.Replace(strings.Replace(good, `"extra":{"callsOut":4}`, allowed, 1), `{`, peers, 1)
+	for _, text := range []string{whole, strings.Replace(whole, `"peers":true`, `"peers":false`, 1),
+		strings.Replace(whole, `"peer_listen"`, `"peer_heard"`, 1), strings.Replace(whole, `"peers":[`, `"others":[`, 1)} {
+		file, _ := os.CreateTemp("", "config")
+		file.WriteString(text)
+		file.Close()
+		c, err := Load(func(name string) string { return map[string]string{"EDGE_CONFIG": file.Name()}[name] })
+		os.Remove(file.Name())
+		if err != nil {
+			fmt.Println(err)
+			continue
+		}
+		before := c.Settings.Notes
+		fmt.Println(before, c.TurnOnNotes(), c.Settings.Notes, c.PeerListen, c.Peers, c.PeersAll)
+	}
+	// Output:
+	// false <nil> true 127.0.0.1:3 [127.0.0.1:3 127.0.0.1:4] 127.0.0.1:5
+	// false field settings: bounds.peers: notes are not allowed false 127.0.0.1:3 [127.0.0.1:3 127.0.0.1:4] 127.0.0.1:5
+	// false field peer_listen: missing false  [127.0.0.1:3 127.0.0.1:4] 127.0.0.1:5
+	// false field peers: missing false 127.0.0.1:3 [] 127.0.0.1:5
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -104,7 +104,7 @@
 		OverShareGain:  b.OverShareWorth,
 		Halving:        b.Extra.Fades == "halving",
 		Probing:        b.Bounds.Probing,
-		Notes:          b.Bounds.Peers && !tellsFull, // on sockets nothing carries notes
+		Notes:          b.Bounds.Peers,
 		Cancelling:     b.Bounds.Cancel,
 		DialTimeout:    Up(b.Bounds.DialTimeout),
 		ConnIdle:       Down(b.Bounds.ConnIdle),
--- /dev/null
+++ b/internal/directory/watch_test.go
@@ -0,0 +1,98 @@
+package directory
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+)
+
+// A watch goes on from the version it has heard, whatever ended the one before: its end, an error, or nonsense. What it
+// hears may stand on one line or on several.
+func ExampleWatch() {
+	answers := []string{`{"version":5,"full":true,"servers":[]}` + "\n\n" + `{"version":6}` + "\n", "", "{nonsense\n", "{\n  \"version\": 7\n}\n"}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Println(r.Method, r.URL)
+		if len(answers) == 0 {
+			return
+		}
+		if text := answers[0]; text == "" {
+			w.WriteHeader(503)
+		} else {
+			for _, piece := range strings.SplitAfter(text, ",") {
+				io.WriteString(w, piece)
+				w.(http.Flusher).Flush()
+			}
+		}
+		answers = answers[1:]
+	}))
+	defer server.Close()
+	stop := make(chan struct{})
+	Watch(server.Listener.Addr().String(), 2, 4, stop,
+		func(l List) {
+			fmt.Println("version", l.Version)
+			if l.Version == 7 {
+				close(stop)
+			}
+		},
+		func(err error) {
+			select {
+			case <-stop:
+				return // stopped, or ended by the server, whichever is seen first
+			default:
+			}
+			var syntax *json.SyntaxError
+			fmt.Println("ended:", err, errors.As(err, &syntax))
+		})
+	// Output:
+	// GET /api/targets?follow=1&since=4
+	// version 5
+	// version 6
+	// ended: the watch was ended false
+	// GET /api/targets?follow=1&since=6
+	// ended: status 503, chunked false false
+	// GET /api/targets?follow=1&since=6
+	// ended: invalid character 'n' looking for beginning of object key string true
+	// GET /api/targets?follow=1&since=6
+	// version 7
+}
+
+// Half a list is no news: what a discovery that breaks off in the middle has said is not passed on, the version stays.
+// Nor does a list without endpoints, or with ones nobody knows, end anything.
+func ExampleWatch_half() {
+	answers := []string{`{"version":8,"full":true,"servers":[{"id":"a","addr":"h:1","sta`, `{"version":8,"full":true,"servers":[]}` + "\n" +
+		`{"version":9,"full":true,"servers":[{"id":"a","addr":"h:1","zone":"nowhere","kind":"unheard","state":"up"}]}` + "\n"}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Println("since", r.URL.Query().Get("since"))
+		io.WriteString(w, answers[0])
+		w.(http.Flusher).Flush()
+		answers = answers[1:]
+	}))
+	defer server.Close()
+	stop := make(chan struct{})
+	names := Names{}
+	Watch(server.Listener.Addr().String(), 2, 7, stop,
+		func(l List) {
+			entries, unread := names.Entries(l)
+			fmt.Println("version", l.Version, "entries", len(entries), "unread", unread)
+			if l.Version == 9 {
+				close(stop)
+			}
+		},
+		func(err error) {
+			select {
+			case <-stop:
+			default:
+				fmt.Println("ended:", err)
+			}
+		})
+	// Output:
+	// since 7
+	// ended: the watch was ended in the middle of a message
+	// since 7
+	// version 8 entries 0 unread 0
+	// version 9 entries 1 unread 0
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,158 @@
+package peers
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// socket is a peer played by the test.
+func socket(t *testing.T) *net.UDPConn {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(mustAddr(t, "127.0.0.1:0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// started is a sender's peers with the given ones, and the notes that it hears.
+func started(t *testing.T, o Options) (*Peers, chan []byte) {
+	t.Helper()
+	o.Listen = "127.0.0.1:0"
+	p, err := Open(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	notes := make(chan []byte, 100)
+	p.Start(func(note []byte) { notes <- note })
+	t.Cleanup(func() { p.Close() })
+	return p, notes
+}
+
+func send(t *testing.T, from *net.UDPConn, to string, text []byte) {
+	t.Helper()
+	if _, err := from.WriteToUDPAddrPort(text, mustAddr(t, to)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// What comes from a peer is heard, each time that it comes and however late; what is forged, spoilt, too long or our own
+// is dropped and counted.
+func TestHeard(t *testing.T) {
+	peer, own, stranger := socket(t), socket(t), socket(t)
+	p, notes := started(t, Options{Peers: []string{own.LocalAddr().String(), peer.LocalAddr().String()}, Own: 0})
+	good := frame([]byte("abc"))
+	for range 2 {
+		send(t, peer, p.Addr(), good)
+	}
+	send(t, stranger, p.Addr(), good)
+	send(t, own, p.Addr(), good)
+	spoilt := 0
+	for i := range good {
+		bad := append([]byte(nil), good...)
+		bad[i] ^= 4
+		send(t, peer, p.Addr(), bad)
+		send(t, peer, p.Addr(), good[:i])
+		spoilt += 2
+	}
+	send(t, peer, p.Addr(), frame(nil))
+	send(t, peer, p.Addr(), append(good, 0))
+	for _, size := range []int{MostBytes + 1, 9000} {
+		send(t, peer, p.Addr(), frame(make([]byte, size-1-sumSize)))
+	}
+	longest := make([]byte, MostBytes-1-sumSize)
+	send(t, peer, p.Addr(), frame(longest))
+	for _, want := range []string{"abc", "abc", string(longest)} {
+		if got := string(<-notes); got != want {
+			t.Errorf("heard %q", got)
+		}
+	}
+	want := Counts{Heard: 3, Strange: 1, Own: 1, Spoilt: int64(spoilt) + 2, TooLong: 2}
+	if got := p.Counts(); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
+
+// A note leaves from the socket that the others know, once to the address of all, or to each but ourselves; a peer that
+// is gone costs the others nothing.
+func TestTell(t *testing.T) {
+	a, b, all, gone := socket(t), socket(t), socket(t), socket(t)
+	gone.Close()
+	list := []string{gone.LocalAddr().String(), a.LocalAddr().String(), "127.0.0.1:9", b.LocalAddr().String()}
+	hears := func(conn *net.UDPConn, from string) {
+		t.Helper()
+		buf := make([]byte, 300)
+		conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		n, src, err := conn.ReadFromUDPAddrPort(buf)
+		if err != nil || src.String() != from || string(unframe(buf[:n])) != "xyz" {
+			t.Errorf("%q from %v, %v", buf[:n], src, err)
+		}
+	}
+	each, _ := started(t, Options{Peers: list, Own: 2})
+	for range 3 {
+		each.Tell([]byte("xyz"))
+		hears(a, each.Addr())
+		hears(b, each.Addr())
+	}
+	once, _ := started(t, Options{Peers: list, Own: 2, All: all.LocalAddr().String()})
+	once.Tell([]byte("xyz"))
+	hears(all, once.Addr())
+	a.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if n, _, err := a.ReadFromUDPAddrPort(make([]byte, 300)); err == nil {
+		t.Errorf("%d bytes to each as well as to all", n)
+	}
+	once.Tell(make([]byte, MostBytes))
+	if got := once.Counts(); got.Told != 1 || got.Unsent != 1 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// Where nothing is sent any more, Tell drops and counts; it does not wait.
+func TestTellNeverWaits(t *testing.T) {
+	p, err := Open(Options{Listen: "127.0.0.1:0", Peers: []string{"127.0.0.1:9"}, Own: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range mostWaiting + 7 {
+		p.Tell([]byte("abc"))
+	}
+	if got := p.Counts(); got.Unsent != 7 {
+		t.Errorf("%+v", got)
+	}
+	if err := p.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// What is wrong is named by its field.
+func TestOpen(t *testing.T) {
+	for _, o := range []Options{{}, {Listen: "127.0.0.1:0"}, {Listen: "host:1", Peers: []string{"127.0.0.1:1"}},
+		{Listen: "127.0.0.1:0", Peers: []string{"127.0.0.1:1", "[::1]:1"}},
+		{Listen: "127.0.0.1:0", Peers: []string{"127.0.0.1:1"}, All: "all"}} {
+		if _, err := Open(o); err == nil || !strings.HasPrefix(err.Error(), "field peer") {
+			t.Errorf("%+v: %v", o, err)
+		}
+	}
+	taken := socket(t)
+	if _, err := Open(Options{Listen: fmt.Sprint(taken.LocalAddr()), Peers: []string{"127.0.0.1:1"}}); err == nil {
+		t.Error("an address in use was taken")
+	}
+}
+
+func mustAddr(t *testing.T, text string) netip.AddrPort {
+	t.Helper()
+	a, err := netip.ParseAddrPort(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
--- a/internal/sender/book.go
+++ b/internal/sender/book.go
@@ -97,6 +97,7 @@
 	add("journal_rewritings", n.rewritings)
 	add("owed", int64(len(s.owed)))
 	add("endings_owed", int64(len(s.endings)))
+	s.countNotes(add)
 	return lines
 }
 
--- /dev/null
+++ b/internal/sender/notes.go
@@ -0,0 +1,73 @@
+package sender
+
+// This file carries the module's notes to and from other senders (package peers). It must never have the loop wait for
+// a socket, nor keep a sender from serving because notes cannot go: it then serves as one without.
+
+import (
+	"go.uber.org/zap"
+
+	"flaxcove/internal/config"
+	"flaxcove/internal/peers"
+)
+
+type notes struct {
+	peers *peers.Peers // nil where no notes go
+}
+
+// openPeers binds the socket for notes where the settings have them go. Where that fails it returns a configuration
+// without.
+func openPeers(cfg *config.Config, log *zap.Logger) (*config.Config, *peers.Peers) {
+	if !cfg.Settings.Notes {
+		return cfg, nil
+	}
+	p, err := peers.Open(peers.Options{Listen: cfg.PeerListen, Peers: cfg.Peers, Own: int(cfg.Settings.Number), All: cfg.PeersAll})
+	if err != nil {
+		log.Error("notes stay off", zap.Error(err))
+		without := *cfg
+		without.Settings.Notes = false
+		return &without, nil
+	}
+	return cfg, p
+}
+
+func closePeers(p *peers.Peers) error {
+	if p == nil {
+		return nil
+	}
+	return p.Close()
+}
+
+// startNotes lets notes come in.
+func (s *Sender) startNotes(p *peers.Peers) {
+	if s.peers = p; p != nil {
+		p.Start(func(note []byte) { s.post(func() { s.module.Heard(note) }) })
+	}
+}
+
+// endNotes waits for the receiver, which post lets go once stop is closed.
+func (s *Sender) endNotes() {
+	if err := closePeers(s.peers); err != nil {
+		s.log.Error("notes", zap.Error(err))
+	}
+}
+
+// Tell has a note go to all other senders.
+func (s *Sender) Tell(note []byte) {
+	if s.peers != nil {
+		s.peers.Tell(note)
+	}
+}
+
+func (s *Sender) countNotes(add func(name string, v int64)) {
+	if s.peers == nil {
+		return
+	}
+	c := s.peers.Counts()
+	add("notes_told", c.Told)
+	add("notes_unsent", c.Unsent)
+	add("notes_heard", c.Heard)
+	add("notes_from_strangers", c.Strange)
+	add("notes_own", c.Own)
+	add("notes_too_long", c.TooLong)
+	add("notes_spoilt", c.Spoilt)
+}
--- a/internal/sender/route.go
+++ b/internal/sender/route.go
@@ -143,9 +143,6 @@
 	s.starting = append(s.starting, c)
 }
 
-// Tell says nothing: Settings.Notes is unset, as nothing carries notes on sockets.
-func (s *Sender) Tell([]byte) {}
-
 func (s *Sender) CloseIdle(id choice.EndpointID) {
 	if e := s.endpoints[id]; e != nil {
 		s.closeIdle(e, unneeded)
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -31,6 +31,9 @@
 	endAfter  = 3300 * time.Millisecond
 	endAnyway = 3500 * time.Millisecond
 	retryTurn = 20 * time.Millisecond // a turn whose journal could not be written
+	// What discovery's agent holds counts as told from the process's first moment, and the agent answers at once: so
+	// long nothing is sent by the list of the configuration, which may be out of date. Clients wait 400 ms for an answer.
+	firstNewsFor = 150 * time.Millisecond
 )
 
 // Sender is one running sender. All fields belong to the loop unless said otherwise.
@@ -64,6 +67,7 @@
 	takeIn
 	admission
 	routing
+	notes
 	links
 	book
 }
@@ -71,17 +75,32 @@
 // Start replays the journal, tells the module what it finds, and returns once clients may come.
 func Start(cfg *config.Config, log *zap.Logger) (*Sender, error) {
 	start := time.Now()
+	cfg, p := openPeers(cfg, log)
 	s, err := open(cfg, log, start, func() time.Duration { return time.Since(start) })
 	if err != nil {
-		return nil, err
+		return nil, errors.Join(err, closePeers(p))
 	}
 	if err := s.listen(); err != nil {
-		return nil, errors.Join(err, s.journal.Close())
+		return nil, errors.Join(err, s.journal.Close(), closePeers(p))
 	}
+	s.startNotes(p)
 	s.watch(cfg.Known.Version)
+	s.awaitNews(time.After(firstNewsFor))
 	return s, nil
 }
 
+// awaitNews does what comes in until the list has come, or it is too late. The loop does not run yet.
+func (s *Sender) awaitNews(late <-chan time.Time) {
+	for s.stirred = true; !s.listTold; {
+		select {
+		case f := <-s.inbox:
+			f()
+		case <-late:
+			return
+		}
+	}
+}
+
 // open makes a sender that knows what it owes and touches no socket yet.
 func open(cfg *config.Config, log *zap.Logger, start time.Time, clock func() time.Duration) (*Sender, error) {
 	s := &Sender{cfg: cfg, log: log, start: start, clock: clock, inbox: make(chan func(), inboxSize), stop: make(chan struct{})}
@@ -270,6 +289,7 @@
 func (s *Sender) close() {
 	close(s.stop)
 	s.endWatches(len(s.watches))
+	s.endNotes()
 	s.remind()
 	if err := s.journal.Close(); err != nil {
 		s.log.Error("journal", zap.Error(err))
