--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -25,7 +25,7 @@
 		longest, shortest := Time(0), Time(1<<60)
 		for i := range 40 {
 			n := &notice{Notice: Notice{ID: NoticeID(fmt.Sprint(i))}, tries: try,
-				w: &d.s.workloads[0], d: d.s.byID[1]}
+				w: &d.s.set.Workloads[0], d: d.s.byID[1]}
 			n.HardStop = 60 * Second
 			d.s.again(n)
 			longest, shortest = max(longest, n.dueAt), min(shortest, n.dueAt)
--- a/choice/desk_test.go
+++ b/choice/desk_test.go
@@ -14,6 +14,7 @@
 	mute   bool
 	links  bool // print closings too
 	tries  map[NoticeID]int
+	barred func(NoticeID, EndpointID) bool // nil for nothing
 }
 
 type deskTimer struct {
@@ -46,7 +47,7 @@
 func (d *desk) take(workload WorkloadNo, to DestinationID, ids ...NoticeID) *desk {
 	for _, id := range ids {
 		d.s.Taken(Notice{ID: id, Workload: workload, Key: 5, Destination: to,
-			HardStop: d.clock + d.s.workloads[workload].HardStop})
+			HardStop: d.clock + d.s.set.Workloads[workload].HardStop})
 	}
 	d.s.TurnEnd()
 	return d
@@ -86,6 +87,9 @@
 }
 
 func (d *desk) Now() Time { return d.clock }
+func (d *desk) Allowed(n NoticeID, e EndpointID) bool {
+	return d.barred == nil || !d.barred(n, e)
+}
 func (d *desk) Dispatch(n NoticeID, to EndpointID, timeOut Time) {
 	d.tries[n]++
 	d.print("dispatch %s to %s", n, to)
--- a/choice/host.go
+++ b/choice/host.go
@@ -179,6 +179,9 @@
 // Host is all that the module can do to the world. Calls take effect in the order made.
 type Host interface {
 	Now() Time
+	// Allowed is whether a notice may use an endpoint as things stand; it is asked for each one looked at, and must
+	// cost nanoseconds.
+	Allowed(n NoticeID, e EndpointID) bool
 	Dispatch(n NoticeID, to EndpointID, timeOut Time)
 	Shed(n NoticeID, comeBackIn Time) // 0 names no time
 	GiveUp(n NoticeID)
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -1,13 +1,16 @@
 package choice
 
 import (
+	"cmp"
 	"container/list"
 	"encoding/binary"
 	"hash/crc32"
+	"maps"
 	"math"
+	"slices"
 )
 
-// This file holds plain arithmetic that choice.go uses; no decision and no tuned value.
+// This file holds plain arithmetic for the rest of the module; no decision and no tuned value.
 
 func seconds(t Time) float64 { return float64(t) / float64(Second) }
 
@@ -25,6 +28,23 @@
 	return all
 }
 
+// without is a list less one of its own.
+func without[T comparable](all []T, less T) []T {
+	return slices.DeleteFunc(all, func(other T) bool { return other == less })
+}
+
+// drop takes all that stands for one value out of a table.
+func drop[K, V comparable](table map[K]V, value V) {
+	maps.DeleteFunc(table, func(_ K, other V) bool { return other == value })
+}
+
+// inOrder is a table's keys in an order that is always the same.
+func inOrder[K cmp.Ordered, V any](table map[K]V) []K { return slices.Sorted(maps.Keys(table)) }
+
+const forever = Time(math.MaxInt64)
+
+func ceil(t float64) Time { return Time(math.Ceil(t)) }
+
 // chance draws from the seed, an id and a counter.
 type chance struct {
 	seed  []byte
@@ -46,7 +66,7 @@
 
 // upTo is uniform in (0, ceiling].
 func (c *chance) upTo(id string, ceiling Time) Time {
-	return max(1, Time(math.Ceil(c.share(id)*float64(ceiling))))
+	return max(1, ceil(c.share(id)*float64(ceiling)))
 }
 
 // bucket fills at rate a second up to a size given at each look.
--- a/choice/order_test.go
+++ b/choice/order_test.go
@@ -12,7 +12,7 @@
 
 // keyed hands in one notice with a key of its own choice, and leaves the turn open.
 func (d *desk) keyed(id NoticeID, workload WorkloadNo, key OrderKey, to DestinationID) *desk {
-	d.s.Taken(Notice{ID: id, Workload: workload, Key: key, Destination: to, HardStop: d.clock + d.s.workloads[workload].HardStop})
+	d.s.Taken(Notice{ID: id, Workload: workload, Key: key, Destination: to, HardStop: d.clock + d.s.set.Workloads[workload].HardStop})
 	return d
 }
 
--- /dev/null
+++ b/choice/ranks.go
@@ -0,0 +1,115 @@
+package choice
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Where a notice goes and for how long its call may take.
+
+// busy is when one more call would be done, one by one; a refusal costs a wait. An unseen far one ranks
+// behind, which spreads a fleet over a destination; a route's fee counts as time.
+func (s *Sender) busy(e *endpoint) float64 {
+	if e.seen == 0 && e.zone != s.set.Zone {
+		return 2 * e.mean * e.dear
+	}
+	return (e.mean*float64(1+e.calls) + e.bad*float64(s.base)) / (1 - e.bad) * e.dear
+}
+
+// settled renews a destination; it tells whether nothing is left to come back for.
+func (s *Sender) settled(d *destination) bool {
+	d.ranked = slices.DeleteFunc(d.ranked, func(e *endpoint) bool {
+		if e.listed || e.calls > 0 || e.probing || s.now < max(e.coldFrom+s.cold, e.route.haltUntil) {
+			return false
+		}
+		if s.endpoints[e.id] == e {
+			delete(s.endpoints, e.id)
+			drop(s.signs, e) // two may share one
+		}
+		return true
+	})
+	slices.SortStableFunc(d.ranked, func(a, b *endpoint) int { return cmp.Compare(s.busy(a), s.busy(b)) })
+	d.stirred = false
+	for _, e := range d.ranked {
+		due := s.now >= max(e.tryAt, e.route.haltUntil)
+		if e.aside && !e.passed && e.listed && !e.probing && due && s.coldReady(e) {
+			e.probing, e.cold.level = true, e.cold.level-1
+			s.h.Probe(e.id)
+		}
+		d.stirred = d.stirred || e.aside || !e.listed
+	}
+	if len(d.ranked) == 0 && d.held == 0 {
+		delete(s.byID, d.id)
+	}
+	return !d.stirred
+}
+
+// Open tells whether a dispatch may still leave once its connection is up: a wait or a drain may have come,
+// or the time be over in which a tokened notice that may have run is known.
+func (s *Sender) Open(id EndpointID, notices ...NoticeID) bool {
+	e, now := s.endpoints[id], s.h.Now()
+	late := func(id NoticeID) bool {
+		n := s.held[id]
+		return n != nil && n.MayRun && n.w.Repeat == Tokened && now > n.RanAt+n.w.RepeatWindow-s.turn
+	}
+	return e != nil && e.listed && now >= e.route.haltUntil && !slices.ContainsFunc(notices, late)
+}
+
+// place is where a notice may go now, and whether any of its places was barred to it.
+func (s *Sender) place(n *notice, rideOnly bool) (to *endpoint, barred bool) {
+	var trial, same *endpoint
+	for _, e := range n.d.ranked {
+		switch {
+		case !e.listed || s.now < e.route.haltUntil || n.MayRun && n.w.ZoneGroup && e.zone != n.RanIn ||
+			n.w.Repeat == SingleUse && e.doubt > 0 && s.now-e.badAt < 2*lastTrial && s.now < s.lastSend(n)-quietFor:
+		case !s.h.Allowed(n.ID, e.id):
+			barred = true
+		case e.open != nil && e.open.turn == s.turns && !e.aside && e.open.n < n.d.kind.BundleMax:
+			return e, barred
+		case rideOnly || len(s.calls) >= s.slots || n.tries > 0 && n.d.again.fill(s.now, float64(s.slots)) < 1:
+		case e.aside:
+			wait := e.tryAt + Time(one(n.w.Repeat == SingleUse))*2*lastTrial
+			if e.passed && s.now >= wait && trial == nil && (s.probes || s.coldReady(e)) {
+				trial = e
+			}
+		case float64(e.calls) >= e.limit || e.calls >= firstLimit && s.now-e.goodAt >= quietFor: // silent: as new
+		case !e.route.ready(s.now) || !s.coldReady(e):
+		case n.by == nil || e.bad < n.by.bad: // what refused a notice may do so again
+			return e, barred
+		default:
+			same = cmp.Or(same, e)
+		}
+	}
+	return cmp.Or(same, trial), barred
+}
+
+func (s *Sender) dispatch(n *notice, e *endpoint) {
+	if s.unqueue(n); n.w.Repeat == SingleUse && s.kept > keptMost {
+		s.h.CloseIdle(e.id)
+	}
+	if k := &e.d.kind.times; s.senders > smallFleet && e.seen == 0 && k.seen > 0 {
+		e.times = times{k.mean, k.dev, k.past, 0}
+	}
+	c := e.open
+	if c == nil || c.turn != s.turns || c.n >= n.d.kind.BundleMax {
+		c = &call{e: e, sentAt: s.now, turn: s.turns, lane: n.refused, fresh: e.calls == 0 && s.now >= e.linkUntil}
+		n.d.laneOut, n.d.again.level = n.d.laneOut+int(one(c.lane)), n.d.again.level-one(n.tries > 0)
+		e.open, e.calls, e.cold.level, e.route.pace.level = c, e.calls+1, e.cold.level-1, e.route.pace.level-1
+		e.route.load.count(s.now, s.loadSpan)
+		e.passed, e.tryAt = !s.probes, s.now+2*e.step // read while it is set aside
+		e.used.count(s.now, loadSpan*Time(s.senders))
+		s.calls = append(s.calls, c)
+	} else {
+		e.cold.level -= rideWeight
+	}
+	c.n, c.left, n.out, n.sentAt, n.tries = c.n+1, c.left+1, c, s.now, n.tries+1
+	s.h.Dispatch(n.ID, e.id, s.timeOut(n, e))
+}
+
+func (s *Sender) timeOut(n *notice, e *endpoint) Time {
+	usual, longer := max(2*s.prior, e.mean+patience*e.dev), float64(n.tries)
+	if n.w.Repeat == SingleUse {
+		longer = 1 + (finalPatience-1)*float64(s.slots-len(s.calls))/float64(s.slots)
+	}
+	return max(1, min(ceil(usual*longer), n.HardStop-s.now-s.turn))
+}
--- /dev/null
+++ b/choice/returns.go
@@ -0,0 +1,86 @@
+package choice
+
+import "math"
+
+// Outages: how an endpoint is set aside, and how it comes back without being pushed over.
+
+// lost tells of a call without an answer, once. Others answered meanwhile: less at once is enough.
+func (s *Sender) lost(c *call) {
+	if !c.lost && c.e.goodAt > c.sentAt {
+		c.e.limit, c.e.doubt, c.e.badAt = max(1, c.e.limit/2), doubtRun, s.now
+	} else if !c.lost {
+		s.failed(c.e, 0)
+	}
+	c.lost = true
+}
+
+func (s *Sender) failed(e *endpoint, limit float64) {
+	e.fails, e.route.fails = e.fails+1, e.route.fails+1
+	// One is enough where nothing was answered lately, as a large fleet seldom sees two, and two of a route are
+	// all of it, or each sender would push at every endpoint in turn. Of many calls some fail by chance.
+	used := e.used.read(s.now, loadSpan*Time(s.senders))
+	run := math.Log(byChance*used) / -math.Log(max(toleratedShare, e.wrong))
+	if e.aside || e.fails >= max(failsToAside, int(math.Ceil(run))) || limit == 0 && s.now-e.goodAt > quietFor {
+		all := s.senders > smallFleet && e.route.fails >= failsToAside && s.now-e.route.lastGood > quietFor
+		for _, other := range e.d.ranked {
+			if other == e || other.route == e.route && !other.aside && all {
+				s.setAside(other)
+			}
+		}
+	}
+}
+
+// setAside stops sends to an endpoint whose calls fail, whatever the cause. It comes back by a probe, where
+// the fleet is small, and then a trial call. Harm: a healthy endpoint with two chance failures.
+func (s *Sender) setAside(e *endpoint) {
+	s.stir(e.d)
+	if e.aside {
+		e.step = min(lastTrial, 2*e.step)
+	} else {
+		e.aside, e.asideAt, e.step, e.coldWas = true, s.now, firstTrial, e.coldFrom
+		s.chill(e, max(s.now, e.route.haltUntil))
+	}
+	e.failAt, e.passed, e.tryAt = s.now, !s.probes, s.now+e.step/2+s.chance.upTo(string(e.id), e.step/2)
+}
+
+func (s *Sender) comeBack(e *endpoint, sentAt Time) {
+	if e.aside && s.now-e.goodAt < blinkFor {
+		e.coldFrom = e.coldWas
+	} else if e.aside && sentAt >= e.asideAt { // a call from before shows no return
+		s.chill(e, (e.failAt+s.now)/2)
+	}
+	e.fails, e.aside = 0, false
+}
+
+// chill starts a cold budget: two senders may begin at once, those of a fleet each by chance.
+func (s *Sender) chill(e *endpoint, from Time) {
+	e.limit, e.mean, e.coldFrom, e.cold.at = firstLimit, e.past, from, max(from, s.now)
+	e.cold.level = 1 - s.chance.share(string(e.id))*max(0, 1-2/s.senders)
+}
+
+func (s *Sender) outage(e *endpoint) bool { return e.aside || s.now < e.coldFrom+s.cold }
+
+// coldReady bounds all that goes to what is set aside or may be cold, against pushing it over.
+func (s *Sender) coldReady(e *endpoint) bool {
+	if !s.outage(e) {
+		return true
+	}
+	ends := 1 + one(e.route == e.d.route)*float64(len(e.d.ranked)-1)
+	warm := s.set.ColdFrom + one(!e.aside)*(1-s.set.ColdFrom)*float64(s.now-e.coldFrom)/float64(max(1, s.cold))
+	known := max(max(leastPace, e.route.limit)/s.senders, e.route.rating)
+	e.cold.rate = max(coldFloor/seconds(s.cold), s.fallRate*warm*known) / ends
+	// The call that a bucket holds counts too, where few share much; of a large fleet's few are full at once.
+	if span := seconds(max(1, s.set.Fall)); s.senders <= smallFleet && e.cold.rate*s.senders*span > handful {
+		e.cold.rate = max(handful/s.senders/span, e.cold.rate-1/span)
+	}
+	return e.cold.fill(s.now, 1) >= 1
+}
+
+func (s *Sender) Probed(id EndpointID, result Result) {
+	s.now = s.h.Now()
+	if e := s.endpoints[id]; e != nil && e.probing {
+		if e.probing, e.passed = false, result == Done; e.aside && !e.passed {
+			s.setAside(e)
+		}
+	}
+}
--- /dev/null
+++ b/choice/tables.go
@@ -0,0 +1,148 @@
+package choice
+
+import "container/list"
+
+// What a Sender knows, as types, and every tuned value.
+
+const (
+	firstTrial, lastTrial   = 300 * Millisecond, 2 * Second    // pauses before trials: first, longest
+	loadSpan, fleetLoadSpan = 2 * Second, 5 * Second           // of means of sends
+	quietFor, crowdedFor    = 2 * Second, Second / 2           // done lately; so lately that the queue is full
+	longWait, lastGuess     = 2500 * Millisecond, 8 * Second   // told by the shut, above; longest one guessed
+	tick, blinkFor          = 50 * Millisecond, 3 * Second / 2 // between answers, too short for a cold start
+	usedUpFor               = 500 * Millisecond                // rest of a used-up route, until waits are told
+
+	baseShare, capShare     = 0.25, 2.0   // retry ceilings, in shortest contract times
+	meanGain, pastGain      = 0.125, 0.02 // weights of a new time in the mean, in the past
+	patience, finalPatience = 10.0, 4.0   // spreads above the mean; times longer where a time-out is final
+	priorShare, firstLimit  = 0.5, 2.0    // before any call: its time in contract times; calls out at once
+	failsToAside, byChance  = 2, 60       // failures in a row, at least; seconds between asides by chance alone
+	refusedRun, doubtRun    = 2, 6        // refusals in a row; calls done before single-use notices go again
+	usedUp, toleratedShare  = 0.3, 0.02   // of an allowance left, explains a refusal; refused, the price of room
+	mostNoise, noiseTold    = 0.25, 3.0   // share refused whatever the load; deviations that tell it
+	nearLoad, topFor        = 0.95, 10.0  // share that still counts as the same; seconds a load is kept
+	leastPace, unpaced      = 0.6, 1e6    // calls a second: of all senders together; while no limit was met
+	paceCut, paceGrow       = 0.5, 0.05   // to which part at least, half beyond a handful; growth a second
+	callsToJudge, handful   = 16, 4.0     // under so many, a refusal is a limit's; calls that fell nothing
+	coldFloor, coldPart     = 1.0, 1.2    // calls a cold time, whatever is known; times the part that is
+	lookPast                = 16          // notices of one queue that are looked at where places are barred
+	smallFleet, laneShare   = 8, 4        // senders up to which each probes at all; slots to one of a lane
+	rideWeight, notedPay    = 0.15, 0.3   // of one more in a call to the cold; retries one done pays, with notes
+	feeWeight, overdueAfter = 20.0, 4.0   // times longer: for a notice's worth of fee; than past, till overdue
+	keptMost, closeMore     = 0.05, 30.0  // resets on kept links; own calls due to keep one, a share of failures
+	shareSpan, crowdFrom    = 30.0, 0.85  // seconds of a share at once; of MaxOpen, some are turned away
+)
+
+const tickTimer TimerID = 0 // the others stand for notices
+
+// notice is one held notice; it leaves Sender.held once it is over and nothing of it is out.
+type notice struct {
+	Notice
+	w                   *Workload
+	d                   *destination
+	out                 *call
+	by                  *endpoint
+	queue               *list.List
+	elem                *list.Element
+	line                *keyLine
+	gain                float64
+	tries               int
+	born, sentAt, dueAt Time
+	refused, over       bool
+	wakes               []TimerID
+}
+
+// keyLine holds the notices of one order key in the order taken; dropped when empty and rested.
+type keyLine struct {
+	key       OrderKey
+	notices   []*notice
+	restUntil Time
+}
+
+type destination struct {
+	id                     DestinationID
+	kind                   *kind
+	route                  *route
+	ranked                 []*endpoint
+	queues                 []*list.List // fresh ones, one for each workload, then due, then lane
+	laneOut, waiting, held int
+	restUntil              Time    // of keys whose notices are over
+	again                  *bucket // what pays for retries: its own, or in a fleet its kind's
+	stirred                bool    // in Sender.stirred
+}
+
+// kind is what is known of all destinations that the list calls alike.
+type kind struct {
+	Kind
+	times           // of all calls there, for endpoints where none was done yet
+	reports bool    // its answers tell of limits, so that a refusal without one is no limit's
+	again   bucket  // what pays for retries: calls done, and a trickle
+	wait    Time    // what used-up routes usually tell to wait
+	short   float64 // share of late connections that failed
+}
+
+// route is what limits, waits and returns count for: a destination, or an endpoint that is a route apart.
+type route struct {
+	pace                                             bucket
+	load, good                                       meter // own calls sent, and done
+	rating, limit, peak                              float64
+	seen, full, top                                  float64 // since slowDown judged; highest load
+	wasShare, wasLoad, wasSeen, noise                float64 // of the last other load; what stays
+	haltUntil, lastGood, lastCut, guess, metAt, rest Time
+	fails, run                                       int // failures and refusals since something was done
+}
+
+type endpoint struct {
+	times
+	standing
+	id                                   EndpointID
+	d                                    *destination
+	route                                *route
+	zone                                 ZoneNo
+	calls, fails, doubt                  int
+	limit, wrong, bad, asked, full, dear float64 // wrong, bad: shares
+	used                                 meter
+	toldAt, goodAt, badAt, linkUntil     Time
+	listed, probing                      bool
+	cold                                 bucket
+	open                                 *call
+}
+
+// standing is whether and since when an endpoint is set aside or cold; coldWas is the coldness before.
+type standing struct {
+	aside, passed                                   bool
+	failAt, asideAt, step, tryAt, coldFrom, coldWas Time
+}
+
+// call is one slot: the notices sent to one endpoint in one turn, until all have their outcomes.
+type call struct {
+	e                         *endpoint
+	sentAt                    Time
+	n, left, turn             int
+	lane, judged, lost, fresh bool // fresh: on a new connection
+}
+
+// Sender is one sender's decisions. A caller makes one with Start, calls a method for each thing that
+// happens, and TurnEnd once all that came in together is told; it acts by calling its Host meanwhile.
+type Sender struct {
+	h                                                   Host
+	set                                                 Settings
+	chance                                              chance
+	kinds                                               []kind
+	shares                                              []bucket // by account
+	laneMax, maxTries, slots, turns                     int
+	senders, prior, topGain, ratingPart, fallRate, kept float64 // kept: see learn
+	now, base, cap, cold, loadSpan, turn                Time
+	probes, notes                                       bool
+	lastTimer                                           TimerID
+
+	held      map[NoticeID]*notice           // emptied as notices end
+	timers    map[TimerID]*notice            // emptied as each fires or its notice is released
+	lines     map[OrderKey]*keyLine          // emptied when a key has no notice and its rest is over
+	byID      map[DestinationID]*destination // emptied by the tick once without endpoints and notices
+	endpoints map[EndpointID]*endpoint       // likewise, once gone and without calls
+	signs     map[sign]*endpoint             // the same, by what stands for them in notes
+	waiting   []*destination                 // those with a queued notice, longest waiting first
+	stirred   []*destination                 // those the next tick looks at; emptied as they settle
+	calls     []*call                        // at most one for each slot
+}
--- a/internal/sender/route.go
+++ b/internal/sender/route.go
@@ -102,6 +102,9 @@
 	}
 }
 
+// Allowed bars nothing: no rule and no plan is asked yet.
+func (s *Sender) Allowed(choice.NoticeID, choice.EndpointID) bool { return true }
+
 // Dispatch lays a notice into a call of this turn. Notices to one endpoint share one, up to what its kind takes.
 func (s *Sender) Dispatch(id choice.NoticeID, to choice.EndpointID, timeOut choice.Time) {
 	n, e := s.owed[id], s.endpoints[to]
--- a/lab/sim/node.go
+++ b/lab/sim/node.go
@@ -334,6 +334,10 @@
 
 func (n *node) Now() choice.Time { return n.e.w.Now() }
 
+func (n *node) Allowed(id choice.NoticeID, e choice.EndpointID) bool {
+	return n.e.o.Allowed == nil || n.e.o.Allowed(n.Now(), n.no, id, e)
+}
+
 func (n *node) Dispatch(id choice.NoticeID, to choice.EndpointID, timeOut choice.Time) {
 	o, e := n.owed[id], n.ends[to]
 	if e == nil {
--- a/lab/sim/sim_test.go
+++ b/lab/sim/sim_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"flaxcove/choice"
 	"flaxcove/lab/baseline"
 	"flaxcove/lab/referee"
 	"flaxcove/lab/sim"
@@ -135,6 +136,36 @@
 	}
 }
 
+// A plan that bars half the endpoints of a partner to half the notices is kept by every call, and costs little; one that
+// bars nothing is as if there were none.
+func TestWhatAPlanBarsIsNotUsed(t *testing.T) {
+	barred := func(n choice.NoticeID, e choice.EndpointID) bool {
+		return n[7]&1 == 1 && e[len(e)-1]&1 == 0
+	}
+	spec := small()
+	spec.Partners[0].Endpoints = world.Pair{2, 2}
+	spec.Troubles = []world.Trouble{{Kind: "crash", At: 5, Seconds: 5, Part: world.Part{Share: 0.2}}}
+	spec.Defaults()
+	used, bars := 0, true
+	o := sim.Options{Spec: spec, Seed: 3, Allowed: func(_ choice.Time, _ world.SenderNo, n choice.NoticeID, e choice.EndpointID) bool {
+		return !bars || !barred(n, e)
+	}, Outcome: func(_ choice.Time, c *world.Call, _ int) {
+		for _, h := range c.Notices {
+			used += map[bool]int{true: 1}[barred(h.ID, c.Conn.Endpoint.ID)]
+		}
+	}}
+	v := run(t, o)
+	if used > 0 || v.Broken() || v.Service < 0.8 {
+		t.Error(used, brief(v))
+	}
+	bars = false
+	v = run(t, o)
+	o.Allowed = nil
+	if other := run(t, o); used == 0 || brief(v) != brief(other) {
+		t.Errorf("%d used where nothing is barred:\n%s\n%s", used, brief(v), brief(other))
+	}
+}
+
 // What every policy sees is one world: the bound that sees the truth gets most, one try least, of those that keep the
 // rules.
 func TestBaselinesStandInTheOrderMeant(t *testing.T) {
