--- a/cmd/flaxcove/main.go
+++ b/cmd/flaxcove/main.go
@@ -36,6 +36,7 @@
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "run one sender, as EDGE_CONFIG and the other EDGE_ variables say", Action: serve, Flags: []cli.Flag{
 				&cli.StringFlag{Name: "profile", Usage: "write a CPU profile of the whole run to this file"},
+				&cli.StringFlag{Name: "cluster", Usage: "join the processes around this one, as this file says"},
 				&cli.BoolFlag{Name: "trace", Usage: "log each step of each notice too, by its id, and the settings once"}}},
 			{Name: "add", Usage: "hand one notice to a running sender", ArgsUsage: "BODY", Action: add, Flags: []cli.Flag{addr,
 				&cli.StringFlag{Name: "class", Usage: "its workload, as the settings name it", Required: true},
@@ -74,6 +75,9 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1)
+	if c.String("cluster") != "" {
+		runtime.GOMAXPROCS(withCluster)
+	}
 	debug.SetMemoryLimit(int64(heapShare * float64(cfg.Limits.MemoryMB<<20)))
 	log, err := logger(c.Bool("trace"))
 	if err != nil {
@@ -99,6 +103,13 @@
 	if err != nil {
 		return err
 	}
+	if path := c.String("cluster"); path != "" {
+		leave, err := startCluster(path, cfg, s)
+		if err != nil {
+			return err
+		}
+		defer leave()
+	}
 	go func() {
 		<-signals
 		s.Drain()
--- a/internal/sender/book.go
+++ b/internal/sender/book.go
@@ -8,25 +8,17 @@
 	"fmt"
 	"time"
 
-	"github.com/cloudwego/netpoll"
 	"go.uber.org/zap"
 
 	"flaxcove/choice"
-	"flaxcove/internal/http1"
 )
 
 const (
-	outcomesPath = "/v1/outcomes"
-	mostPosted   = 256 // endings in one post
-	// The platform's agent answers at once; while one post waits, all later endings do, and a notice without its
-	// ending 300 ms past its hard stop is lost.
-	postFor    = 250 * time.Millisecond
+	mostPosted = 256 // endings in one post
 	firstRetry = 20 * time.Millisecond
 	lastRetry  = 250 * time.Millisecond
 )
 
-const postFailed reason = "post_failed"
-
 type endKind byte
 
 const (
@@ -60,6 +52,7 @@
 	delivered, handedBack, givenUp, posted, postsFailed    int64
 	clientsEnded, linksEnded, watchesEnded, rewritings     int64
 	reloads                                                int64
+	purges, withdrawn, withdrawnOut, evicted, taught       int64
 	outcomes                                               [choice.Spoilt + 1]int64
 }
 
@@ -97,6 +90,14 @@
 	add("journal_rewritings", n.rewritings)
 	add("owed", int64(len(s.owed)))
 	add("endings_owed", int64(len(s.endings)))
+	if s.cluster != nil {
+		add("purges", n.purges)
+		add("withdrawn", n.withdrawn) // beside given_up, though the platform is told the same
+		add("withdrawn_while_out", n.withdrawnOut)
+		add("evicted", n.evicted)
+		add("taught", n.taught)
+		add("digest_left_out", s.leftOut)
+	}
 	return lines
 }
 
@@ -126,9 +127,12 @@
 	s.log.Debug("ends undelivered", zap.String("id", string(n.ID)), zap.Bool("handed_back", how.what == endHandedBack),
 		zap.Int64("retry_ms", how.retryMS), zap.Int("tries", n.tries), zap.Bool("may_have_run", n.MayRun),
 		zap.Bool("client_waits", n.reply != nil))
-	if how.what == endHandedBack {
+	switch {
+	case how.what == endHandedBack:
 		s.counts.handedBack++
-	} else {
+	case n.withdrawn:
+		s.counts.withdrawn++
+	default:
 		s.counts.givenUp++
 	}
 	n.ending = how
@@ -206,72 +210,3 @@
 	s.after(s.retryIn, func() { s.posting = false })
 	s.retryIn = min(2*s.retryIn, lastRetry)
 }
-
-// poster holds the connection to the platform. It belongs to the one goroutine that posts.
-type poster struct {
-	conn netpoll.Connection
-	addr string // of conn
-	log  func(addr string, why reason, err error)
-}
-
-func (p *poster) post(addr string, body []byte) (status int, err error) {
-	if addr != p.addr {
-		p.drop(unneeded, nil)
-		p.addr = addr
-	}
-	fresh := p.conn == nil || !p.conn.IsActive()
-	if status, err = p.try(addr, body); err != nil && !fresh {
-		// The kept connection had ended; a notice told twice does no harm.
-		status, err = p.try(addr, body)
-	}
-	return status, err
-}
-
-func (p *poster) try(addr string, body []byte) (status int, err error) {
-	if p.conn == nil || !p.conn.IsActive() {
-		p.drop(peerClosed, nil)
-		if p.conn, err = netpoll.DialConnection("tcp", addr, postFor); err != nil {
-			p.conn = nil
-			p.log(addr, notUp, err)
-			return 0, err
-		}
-		p.conn.SetReadTimeout(postFor)
-		p.conn.SetWriteTimeout(postFor)
-	}
-	defer func() {
-		if err != nil {
-			p.drop(postFailed, err)
-		}
-	}()
-	request := append(http1.AppendRequest(nil, "POST", outcomesPath, addr, len(body)), body...)
-	if _, err = p.conn.Write(request); err != nil {
-		return 0, err
-	}
-	var a http1.Answer
-	for !a.Done {
-		r := p.conn.Reader()
-		if _, err = r.Peek(1); err != nil {
-			return 0, err
-		}
-		piece, err := r.Next(r.Len())
-		if err == nil {
-			err = a.Feed(piece)
-		}
-		r.Release()
-		if err != nil {
-			return 0, err
-		}
-	}
-	if a.Close || a.Left() > 0 {
-		p.drop(askedClose, nil)
-	}
-	return a.Status(), nil
-}
-
-func (p *poster) drop(why reason, err error) {
-	if p.conn != nil {
-		p.log(p.addr, why, err)
-		p.conn.Close()
-		p.conn = nil
-	}
-}
--- /dev/null
+++ b/internal/sender/bundle_test.go
@@ -0,0 +1,128 @@
+package sender
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"flaxcove/internal/http1"
+)
+
+// Notices of one turn to one endpoint share a call, up to what its kind takes, and each fares as its own state
+// says; one that the answer leaves out may have run.
+func Example_bundle() {
+	r := start("", 100).hand("OUT.ADD 0a o1 c=order,d=20000,dest=2 x", "OUT.ADD 0b o2 c=order,d=20000,dest=2 x",
+		"OUT.ADD 0c o3 c=order,d=20000,dest=2 x")
+	_, body := r.s.request(r.calls[0])
+	fmt.Println(string(body))
+	r.answer("HTTP/1.1 200 OK\nContent-Length: 58\n\n" + `[{"id":"o1","state":"ok"},  {"id":"o2","state":"later"}]   `)
+	r.turn(5 * time.Millisecond).owed()
+	os.RemoveAll(r.dir)
+	// Output:
+	// call b: POST /inbox/bulk
+	//    o3
+	//    o2
+	//    o1
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// [{"id":"o3","key":"0c","body":"eA=="},{"id":"o2","key":"0b","body":"eA=="},{"id":"o1","key":"0a","body":"eA=="}]
+	// platform: {"message":"o3","outcome":"given_up"}
+	// owed: 1 to the platform: 0
+}
+
+// A notice of a bundle whose time is over ends alone: one that was not sent yet is handed back and does not leave any
+// more, one that was may have run. The call goes on for the order, and ends nothing a second time.
+func Example_bundleOutlivesOne() {
+	for _, written := range []bool{false, true} {
+		r := start("", 100).hand("OUT.ADD 0 order c=order,d=20000,dest=2 x", "OUT.ADD 0 late c=status,d=500,dest=2 x")
+		c := r.calls[0]
+		text := ok
+		if written {
+			c.link = &link{s: r.s, e: c.e}
+			text = "HTTP/1.1 200 OK\nContent-Length: 61\n\n" + `[{"id":"order","state":"ok"},{"id":"late","state":"ok"}]     `
+		}
+		r.turn(600 * time.Millisecond).answer(text).turn(5 * time.Millisecond).owed()
+		fmt.Println("delivered:", r.s.counts.delivered)
+		os.RemoveAll(r.dir)
+	}
+	// Output:
+	// call b: POST /inbox/bulk
+	//    order
+	//    late
+	// client: +OK
+	// client: +OK
+	// platform: {"message":"late","outcome":"handed_back","retry_in_ms":200}
+	// call b: POST /inbox
+	//    order
+	// owed: 0 to the platform: 0
+	// delivered: 1
+	// call b: POST /inbox/bulk
+	//    order
+	//    late
+	// client: +OK
+	// client: +OK
+	// platform: {"message":"late","outcome":"given_up"}
+	// call b: POST /inbox/bulk
+	//    order
+	//    late
+	// owed: 0 to the platform: 0
+	// delivered: 1
+}
+
+// A wait in the answer to a bundle binds whatever became of its notices.
+func Example_bundleWait() {
+	r := start("", 100).hand("OUT.ADD 0 s1 c=status,d=6000,dest=2 x", "OUT.ADD 0 s2 c=status,d=6000,dest=2 x")
+	r.answer("HTTP/1.1 200 OK\nRetry-After: 0.7\nContent-Length: 54\n\n" + `[{"id":"s1","state":"ok"},{"id":"s2","state":"error"}]`)
+	r.turn(690 * time.Millisecond)
+	fmt.Println("the wait is over")
+	r.turn(300 * time.Millisecond)
+	os.RemoveAll(r.dir)
+	// Output:
+	// call b: POST /inbox/bulk
+	//    s2
+	//    s1
+	// client: +OK
+	// client: +OK
+	// the wait is over
+	// call b: GET /-/healthy
+}
+
+// A bundle whose answer cannot be made out may have run, and its link is of no further use.
+func Example_spoiltBundle() {
+	for _, body := range []string{`[{"id":"o1","state":"ok"},{"id":"o2","sta`, "nothing", `[{"id":"o1","state":"ok"}]`} {
+		r := start("", 100).hand("OUT.ADD 0 o1 c=order,d=20000,dest=2 x", "OUT.ADD 0 o2 c=order,d=20000,dest=2 x")
+		var a http1.Answer
+		a.Feed(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		told := readAnswer(&a)
+		fmt.Println("spoilt:", told.spoilt(r.calls[0]))
+		r.calls[0].over = true
+		r.s.finish(r.calls[0], told)
+		r.turn(5 * time.Millisecond)
+		os.RemoveAll(r.dir)
+	}
+	// Output:
+	// call b: POST /inbox/bulk
+	//    o2
+	//    o1
+	// client: +OK
+	// client: +OK
+	// spoilt: true
+	// platform: {"message":"o2","outcome":"given_up"}
+	// {"message":"o1","outcome":"given_up"}
+	// call b: POST /inbox/bulk
+	//    o2
+	//    o1
+	// client: +OK
+	// client: +OK
+	// spoilt: true
+	// platform: {"message":"o2","outcome":"given_up"}
+	// {"message":"o1","outcome":"given_up"}
+	// call b: POST /inbox/bulk
+	//    o2
+	//    o1
+	// client: +OK
+	// client: +OK
+	// spoilt: false
+	// platform: {"message":"o2","outcome":"given_up"}
+}
--- /dev/null
+++ b/internal/sender/call.go
@@ -0,0 +1,225 @@
+package sender
+
+// This file calls: it owns the calls of a turn, from the first byte to an answer, an end or a time-out. It must never
+// send a call again by itself, write one whose time has passed or whose endpoint the module has meanwhile closed off,
+// leave a call that was given up on an open connection, or take a call of which a byte may be missing for one that ran.
+
+import (
+	"encoding/base64"
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"flaxcove/choice"
+	"flaxcove/internal/config"
+	"flaxcove/internal/http1"
+)
+
+const (
+	probeFor = 1500 * choice.Millisecond // an answer to a probe
+	// settleFor lies between the end of a given-up call's connection and what the module does next: its
+	// endpoint must see the end before a new call with the same notice, or counts two at once.
+	settleFor = 10 * time.Millisecond
+)
+
+// call is one request on its way: the notices it carries, or a probe.
+type call struct {
+	s       *Sender
+	e       *endpoint
+	notices []*notice
+	probe   bool
+	kept    bool // its link had carried a call before
+	began   choice.Time
+	lasts   choice.Time // the longest time-out of its notices
+	link    *link       // once it is up
+	timers  []*timer    // its end and that of notices whose time is over before; taken back once it is over
+	over    bool
+	own     bool // it never left, for a reason of ours
+}
+
+// startCalls lets the turn's calls leave.
+func (s *Sender) startCalls() {
+	for _, c := range s.starting {
+		c.e.open = nil
+		s.begin(c)
+	}
+	clear(s.starting)
+	s.starting = s.starting[:0]
+}
+
+func (s *Sender) begin(c *call) {
+	if !c.probe && !s.timeCall(c) {
+		return
+	}
+	c.timers = append(c.timers, s.after(time.Duration(config.Nanoseconds(c.lasts)), func() { s.expire(c) }))
+	if l := s.takeIdle(c.e); l != nil {
+		s.write(c, l)
+		return
+	}
+	if s.open >= s.mostOpen && !s.closeOldestIdle() || c.e.addr == "" {
+		s.logEnd("endpoint", string(c.e.id), crowded, nil)
+		c.own = true
+		s.connectFailed(c)
+		return
+	}
+	s.open++
+	c.e.links++
+	s.counts.connects++
+	s.dial(c)
+}
+
+// timeCall bounds a call by the longest time that one of its notices has left, and lets those with less end alone:
+// a call ended for one of them would leave all others with a time-out, and what is single-use given up. It tells
+// whether anything is left to send.
+func (s *Sender) timeCall(c *call) bool {
+	longest := choice.Time(0)
+	for _, n := range slices.Clone(c.notices) {
+		left := n.HardStop - s.Now() - s.cfg.Settings.Turn
+		if longest = max(longest, left); left <= 0 {
+			s.part(c, n)
+		}
+	}
+	c.lasts = min(c.lasts, longest)
+	for _, n := range c.notices {
+		if left := n.HardStop - s.Now() - s.cfg.Settings.Turn; left < c.lasts {
+			c.timers = append(c.timers, s.after(time.Duration(config.Nanoseconds(left)), func() { s.part(c, n) }))
+		}
+	}
+	return len(c.notices) > 0
+}
+
+// part ends a notice whose time is over before that of its call. It is not sent any more if it has not been; else it
+// may have run, and whatever the answer still says of it comes too late.
+func (s *Sender) part(c *call, n *notice) {
+	if c.over || n.out != c {
+		return
+	}
+	s.stirred = true
+	o := choice.Outcome{Notice: n.ID, Dispatch: n.tries - 1, Endpoint: c.e.id, Took: s.Now() - c.began, Result: choice.Cancelled}
+	if c.link == nil {
+		o.Result = choice.Moot
+		c.notices = slices.DeleteFunc(c.notices, func(other *notice) bool { return other == n })
+	}
+	s.told(c, n, o, nil)
+}
+
+// ids are the notices that a call carries.
+func (c *call) ids() (all []choice.NoticeID) {
+	for _, n := range c.notices {
+		all = append(all, n.ID)
+	}
+	return all
+}
+
+// write sends a call on a link. A goroutine does, since netpoll waits where the endpoint reads slowly.
+func (s *Sender) write(c *call, l *link) {
+	c.link, c.kept, l.call, l.writing, l.used = l, l.used, c, true, true
+	l.reading.Lock()
+	l.asked.Store(l.conn.Reader().Len() == 0)
+	l.reading.Unlock()
+	head, body := s.request(c)
+	go func() {
+		err := l.send(head, body)
+		s.post(func() { s.written(l, err) })
+	}()
+}
+
+// send gathers head and body into one write.
+func (l *link) send(head, body []byte) error {
+	w := l.conn.Writer()
+	l.bufferLock.Lock()
+	err := error(netpoll.ErrConnClosed)
+	if !l.noBuffer {
+		_, err = w.WriteBinary(head)
+		if err == nil && len(body) > 0 {
+			_, err = w.WriteBinary(body)
+		}
+	}
+	l.bufferLock.Unlock()
+	if err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// written is told how a write ended. One that ran out of time may yet bring its last byte away.
+func (s *Sender) written(l *link, err error) {
+	l.writing = false
+	if err != nil {
+		l.unsent = !errors.Is(err, netpoll.ErrWriteTimeout)
+		s.closeLink(l, unwritten)
+	}
+	if l.ended != nil {
+		s.cutOff(l)
+	}
+}
+
+func (s *Sender) request(c *call) (head, body []byte) {
+	if c.probe {
+		return http1.AppendRequest(nil, "GET", "/-/healthy", c.e.addr, -1), nil
+	}
+	left := c.began + c.lasts - s.Now()
+	wait := strconv.FormatInt(int64(max(1, (left+choice.Millisecond-1)/choice.Millisecond)), 10)
+	if len(c.notices) == 1 {
+		n := c.notices[0]
+		return http1.AppendRequest(nil, "POST", "/inbox", c.e.addr, len(n.body),
+			"X-Request-Id", string(n.ID), "X-Deadline-Ms", wait), n.body
+	}
+	// Ids and keys are visible characters without quotes, so they stand in JSON as they are.
+	body = append(body, '[')
+	for i, n := range c.notices {
+		if i > 0 {
+			body = append(body, ',')
+		}
+		body = append(append(body, `{"id":"`...), n.ID...)
+		body = append(append(append(body, `","key":"`...), n.key...), `","body":"`...)
+		body = append(base64.StdEncoding.AppendEncode(body, n.body), `"}`...)
+	}
+	body = append(body, ']')
+	return http1.AppendRequest(nil, "POST", "/inbox/bulk", c.e.addr, len(body),
+		"Content-Type", "application/json", "X-Deadline-Ms", wait), body
+}
+
+// expire gives a call up: whatever it may still do, its connection ends, and the module hears of it once the
+// endpoint has had time to see that.
+func (s *Sender) expire(c *call) {
+	if c.over {
+		return
+	}
+	s.counts.timedOut++
+	if c.link == nil {
+		c.own = s.Now()-c.began < s.shortest // the notice's time was short, not the endpoint's answer late
+		s.connectFailed(c)
+		return
+	}
+	l := c.link
+	if l.began == c {
+		// Not without an answer: if its first line says so, it has been delivered.
+		s.closeLink(l, badAnswer)
+		return
+	}
+	l.call = nil
+	c.over = true
+	s.closeLink(l, gaveUp)
+	s.after(settleFor, func() { s.finish(c, answer{result: choice.TimedOut}) })
+}
+
+func (s *Sender) connectFailed(c *call) {
+	if !c.over {
+		c.over = true
+		s.finish(c, answer{result: choice.ConnectFailed})
+	}
+}
+
+// cutOff ends the call of a connection that ended before its answer was whole.
+func (s *Sender) cutOff(l *link) {
+	c := l.call
+	l.call = nil
+	if c != nil && !c.over {
+		c.over = true
+		s.finish(c, cutOff(c, l.unsent, l.ended))
+	}
+}
--- /dev/null
+++ b/internal/sender/command.go
@@ -0,0 +1,171 @@
+package sender
+
+// This file takes commands: it owns the words that clients may send, and what is wrong with them. It must never take
+// on a second time what is owed or has ended, nor refuse what was once taken on.
+
+import (
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"strconv"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"flaxcove/choice"
+	"flaxcove/internal/journal"
+	"flaxcove/internal/resp"
+)
+
+const (
+	maxID   = 128
+	maxHold = 24 * 60 * 60 * 1000 // milliseconds that a notice may ask for
+)
+
+func (s *Sender) command(c *client, args [][]byte) {
+	r := s.expect(c)
+	name := ""
+	if len(args) > 0 {
+		name = string(args[0])
+	}
+	switch {
+	case strings.EqualFold(name, "OUT.ADD"):
+		s.add(r, args)
+	case strings.EqualFold(name, "PING") && len(args) == 2:
+		s.answer(r, resp.AppendBulk(nil, args[1]))
+	case strings.EqualFold(name, "PING"):
+		s.answer(r, resp.AppendSimple(nil, "PONG"))
+	case strings.EqualFold(name, "INFO"):
+		var text []byte
+		for _, line := range s.Counters() {
+			text = append(append(text, line...), "\r\n"...)
+		}
+		s.answer(r, resp.AppendBulk(nil, text))
+	default:
+		s.badCommand(r, "unknown command")
+	}
+}
+
+func (s *Sender) add(r *reply, args [][]byte) {
+	s.counts.handedIn++
+	n, err := s.read(args)
+	if err != nil {
+		s.badCommand(r, err.Error())
+		return
+	}
+	if old := s.owed[n.ID]; old != nil {
+		// A client that saw its connection end sends the same once more: it is taken on already.
+		if old.reply == nil {
+			s.answer(r, resp.AppendSimple(nil, "OK"))
+		} else {
+			s.answer(r, resp.AppendError(nil, "ERR handed in twice at once"))
+		}
+		return
+	}
+	if _, over := s.admission.ended[n.ID]; over {
+		s.answer(r, resp.AppendSimple(nil, "OK"))
+		return
+	}
+	if _, known := s.cells[n.Destination]; !known && s.listTold {
+		s.badCommand(r, "dest: no such destination")
+		return
+	} else if !known {
+		// The list from before the start may be out of date.
+		s.refuse(r, s.longestReturn())
+		return
+	}
+	if len(s.owed) >= s.cfg.Settings.MaxOpen || !s.room(n) || s.failing || s.late() {
+		s.refuse(r, s.longestReturn())
+		return
+	}
+	n.reply = r
+	s.log.Debug("taken", zap.String("id", string(n.ID)), zap.String("workload", n.workload),
+		zap.Int64("dest", int64(n.Destination)), zap.Int64("hard_stop_ms", int64((n.HardStop-s.Now())/choice.Millisecond)))
+	s.owed[n.ID] = n
+	s.admitted = append(s.admitted, n)
+	s.module.Taken(n.told())
+	s.wakeUp(n.Destination)
+}
+
+// longestReturn, in milliseconds, is what a client is told where no more can be taken on whatever it is.
+func (s *Sender) longestReturn() int64 {
+	return int64(s.cfg.Settings.LongestReturn / choice.Millisecond)
+}
+
+// refuse tells a client that it may come again, and when, if that is known.
+func (s *Sender) refuse(r *reply, ms int64) {
+	s.counts.refused++
+	text := "BUSY"
+	if ms > 0 {
+		text += " " + strconv.FormatInt(ms, 10)
+	}
+	s.answer(r, resp.AppendError(nil, text))
+}
+
+func (s *Sender) read(args [][]byte) (*notice, error) {
+	if len(args) != 5 {
+		return nil, fmt.Errorf("OUT.ADD takes a key, an id, a list and a body, not %d arguments", len(args)-1)
+	}
+	n := &notice{key: string(args[1]), body: args[4]}
+	n.ID, n.Key = choice.NoticeID(args[2]), orderKey(n.key)
+	if !token(args[1]) || !token(args[2]) {
+		return nil, errors.New("key and id: up to 128 visible characters each")
+	}
+	hold, dest := -1.0, -1.0
+	for pair := range strings.SplitSeq(string(args[3]), ",") {
+		switch name, value, _ := strings.Cut(pair, "="); name {
+		case "c":
+			n.workload = value
+		case "d":
+			hold = number(value)
+		case "dest":
+			dest = number(value)
+		}
+	}
+	w, known := s.cfg.Workloads[n.workload]
+	switch {
+	case !known:
+		return nil, fmt.Errorf("c: no class %q", n.workload)
+	case hold <= 0 || hold > maxHold:
+		return nil, errors.New("d: milliseconds, above 0 and within a day")
+	case dest < 0 || dest > 1<<53 || dest != float64(int64(dest)):
+		return nil, errors.New("dest: a whole number")
+	}
+	n.Workload, n.Destination = w, choice.DestinationID(dest)
+	n.takenAt = s.Now()
+	n.HardStop = n.takenAt + choice.Time(hold*float64(choice.Millisecond))
+	n.size = journal.Framed(len(n.record()))
+	return n, nil
+}
+
+func number(text string) float64 {
+	// Digits, and decimals at most: names like Infinity, exponents and hexadecimal ones are nobody's meaning.
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || strings.Trim(text, "0123456789.") != "" {
+		return -1
+	}
+	return v
+}
+
+// token tells whether an id can stand in a head: nothing in it may end a line or a field.
+func token(id []byte) bool {
+	for _, c := range id {
+		if c <= ' ' || c >= 0x7f || c == '"' || c == '\\' {
+			return false
+		}
+	}
+	return len(id) > 0 && len(id) <= maxID
+}
+
+// orderKey is a client's key as the module takes it: zeros stand for none, and other text than a hexadecimal number
+// for one of its own.
+func orderKey(text string) choice.OrderKey {
+	k, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		k = uint64(crc32.ChecksumIEEE([]byte(text))) + 1
+	}
+	if k == 0 {
+		return choice.NoKey
+	}
+	return choice.OrderKey(k &^ (1 << 63))
+}
--- /dev/null
+++ b/internal/sender/command_test.go
@@ -0,0 +1,109 @@
+package sender
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// What is wrong with a command is said and takes nothing on; an id handed in once more is taken on already.
+func Example_commands() {
+	r := start("", 3).hand("PING", "ping hello", "FLUSHALL", "OUT.ADD 00 a", "OUT.ADD 00 a c=nil,d=1,dest=1 x",
+		"OUT.ADD 00 a c=status,d=-1,dest=1 x", "OUT.ADD 00 a c=status,d=1e99,dest=1 x", "OUT.ADD 00 a c=status,d=0x10,dest=1 x",
+		"OUT.ADD 00 a c=status,d=900,dest=1.5 x", "OUT.ADD 00 \"a c=status,d=900,dest=1 x", "OUT.ADD 00 new c=status,d=900,dest=9,x=y,r=1 x")
+	r.hand("OUT.ADD 00 new c=status,d=900,dest=9 x", "OUT.ADD 00 soon c=status,d=1,dest=9 x")
+	r.hand("OUT.ADD 00 two c=status,d=6000,dest=9 x", "OUT.ADD 00 three c=status,d=6000,dest=9 x", "OUT.ADD 00 four c=status,d=6000,dest=9 x")
+	// Where the list is from before the start, an unknown destination may be a new one.
+	r.hand("OUT.ADD 00 five c=status,d=6000,dest=77 x").list(`{"version":2}`).hand("OUT.ADD 00 five c=status,d=6000,dest=77 x")
+	os.RemoveAll(r.dir)
+	// Output:
+	// client: +PONG
+	// client: $5
+	// client: hello
+	// client: -ERR unknown command
+	// client: -ERR OUT.ADD takes a key, an id, a list and a body, not 2 arguments
+	// client: -ERR c: no class "nil"
+	// client: -ERR d: milliseconds, above 0 and within a day
+	// client: -ERR d: milliseconds, above 0 and within a day
+	// client: -ERR d: milliseconds, above 0 and within a day
+	// client: -ERR dest: a whole number
+	// client: -ERR key and id: up to 128 visible characters each
+	// client: +OK
+	// client: +OK
+	// client: -BUSY 200
+	// platform: {"message":"new","outcome":"handed_back","retry_in_ms":200}
+	// client: +OK
+	// client: +OK
+	// client: -BUSY 2000
+	// client: -BUSY 2000
+	// client: -ERR dest: no such destination
+}
+
+// A planned end: no new call leaves late, what is owed stays in the journal, and what comes late is refused.
+func Example_drain() {
+	r := start("", 100)
+	r.s.drain()
+	r.hand("OUT.ADD 00 early c=status,d=6000,dest=1 x").answer(strings.Replace(full, "0.4", "4", 1))
+	r.turn(3 * time.Second)
+	r.hand("OUT.ADD 00 late c=status,d=6000,dest=1 x").owed()
+	r.turn(400 * time.Millisecond)
+	fmt.Println("ended:", r.s.ended)
+	start(r.dir, 100).owed()
+	os.RemoveAll(r.dir)
+	// Output:
+	// call a: POST /inbox
+	//    early
+	// client: +OK
+	// client: -BUSY 2000
+	// owed: 1 to the platform: 0
+	// ended: true
+	// owed: 1 to the platform: 0
+}
+
+// At a planned end, clients with nothing on its way go; one that comes after the signal may hand in one command.
+func Example_drainClients() {
+	r := start("", 100)
+	connect := func() *client {
+		pair, _ := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+		conn, _ := netpoll.NewFDConnection(pair[0])
+		return r.client(conn)
+	}
+	idle, half, asked, queued := connect(), connect(), connect(), connect()
+	queued.room <- struct{}{} // its command waits in the inbox
+	half.half.Store(int64(r.clock))
+	asked.room <- struct{}{}
+	r.s.add(r.s.expect(asked), [][]byte{nil, []byte("0"), []byte("id"), []byte("c=status,d=6000,dest=1"), nil})
+	r.clock += time.Second
+	r.s.drain()
+	late, silent := connect(), connect()
+	show := func() {
+		fmt.Println(idle.closing, half.closing, asked.closing, queued.closing, late.closing, silent.closing)
+	}
+	show()
+	late.served = true
+	r.turn(5 * time.Millisecond)
+	(<-r.s.inbox)() // the answer is written
+	r.turn(5 * time.Millisecond)
+	show()
+	r.turn(lingerFor)
+	show()
+	r.clock += halfFor
+	r.s.sweep()
+	fmt.Println("half a command:", half.closing, half.gone)
+	os.RemoveAll(r.dir)
+	// Output:
+	// true false false false false false
+	// call a: POST /inbox
+	//    id
+	// call a: POST /inbox
+	//    id
+	// true false true false true false
+	// call a: POST /inbox
+	//    id
+	// true false true false true true
+	// half a command: true true
+}
--- /dev/null
+++ b/internal/sender/drain.go
@@ -0,0 +1,61 @@
+package sender
+
+// This file owns the planned end: what still begins after the signal, and when the process may go. What is owed by then
+// stays in the journal.
+
+import (
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// A planned restart leaves 3.7 s from the signal to the kill. New calls stop early, so that those out, of
+	// which a single-use one that is cut off is lost, can end before the process does.
+	lingerFor = 500 * time.Millisecond // clients still come by new connections
+	sendFor   = 2500 * time.Millisecond
+	endAfter  = 3300 * time.Millisecond
+	endAnyway = 3500 * time.Millisecond
+)
+
+// Drain begins a planned end; Run returns when it is over.
+func (s *Sender) Drain() { s.post(s.drain) }
+
+func (s *Sender) sinceDrain() time.Duration { return s.clock() - s.drainAt }
+
+func (s *Sender) drain() {
+	if s.draining {
+		return
+	}
+	s.draining, s.drainAt = true, s.clock()
+	s.log.Info("draining", zap.Int("owed", len(s.owed)))
+	s.closeIdleClients()
+	s.after(endAfter, func() {})
+}
+
+func (s *Sender) checkDrain() {
+	if !s.draining {
+		return
+	}
+	s.closeIdleClients()
+	since := s.sinceDrain()
+	// The process's end would cut off an answer on its way.
+	if since >= endAfter && !s.answersOut() || since >= endAnyway || since >= lingerFor && len(s.owed) == 0 && s.clients.count() == 0 {
+		s.ended = true
+	}
+}
+
+// close ends the process's part; what is owed stays in the journal.
+func (s *Sender) close() {
+	close(s.stop)
+	s.endWatches(len(s.watches))
+	s.remind()
+	if err := s.journal.Close(); err != nil {
+		s.log.Error("journal", zap.Error(err))
+	}
+	s.log.Info("ended", zap.Int("owed", len(s.owed)), zap.String("counters", strings.Join(s.Counters(), " ")))
+}
+
+// late tells whether a planned end is too near to begin anything.
+func (s *Sender) late() bool { return s.draining && s.sinceDrain() >= sendFor }
--- /dev/null
+++ b/internal/sender/joined.go
@@ -0,0 +1,176 @@
+package sender
+
+// This file ties a sender to the processes around it (package together): how it is joined to them, the orders that
+// they post, and the gate that holds dispatches back while withdrawals are caught up with. A sender that is never
+// joined counts nothing, sets no timer and starts no goroutine for any of it. The loop must never wait for a cluster.
+
+import (
+	"cmp"
+	"sync"
+	"time"
+
+	"flaxcove/choice"
+	"flaxcove/internal/sender/together"
+)
+
+// gateFor bounds how long a gate that never opens holds dispatches back, unless the starter says otherwise: far under
+// the contract time of any workload seen (0.8 s upwards), longer than a catching-up over loopback takes.
+const gateFor = 2 * time.Second
+
+// Joining is what Join takes besides the cluster.
+type Joining struct {
+	// Gate holds all dispatches back until it is closed, or For is over: what was withdrawn while this process was away
+	// is applied first (Orders.Purge). Notices are taken on and answered meanwhile, and end by their own time. nil holds
+	// nothing back. Harm: notices wait so long at a start; and where For is over first, what was withdrawn may go.
+	Gate <-chan struct{}
+	For  time.Duration // 0 for gateFor
+}
+
+// joined is what a sender holds for the processes around it.
+type joined struct {
+	cluster together.Cluster // nil for none
+	guide   together.Guide   // as of the start of this turn
+	memory  memory
+	gated   bool
+	mail    mailbox
+	answers []func() // to orders, given once the turn's append is on disk
+	purging
+	watching
+	holding
+}
+
+// memory is what the module does about all that it learnt of endpoints.
+type memory interface {
+	// Void drops what was learnt of an endpoint, or puts other in its place.
+	Void(choice.EndpointID, *choice.Learnt)
+	// Holds tells how many answers rest on a destination, and whether it must not be let go.
+	Holds(choice.DestinationID) (calls float64, pinned bool)
+}
+
+// Join ties the sender to a cluster. It is called at most once, before Run.
+func (s *Sender) Join(c together.Cluster, j Joining) {
+	s.cluster = c
+	s.watching.init(s)
+	s.after(digestEvery, s.digest)
+	if j.Gate == nil {
+		return
+	}
+	s.gated = true
+	over := make(chan struct{})
+	s.after(cmp.Or(j.For, gateFor), func() {
+		close(over)
+		s.openGate()
+	})
+	go func() {
+		select {
+		case <-j.Gate:
+			s.post(s.openGate)
+		case <-over:
+		case <-s.stop:
+		}
+	}()
+}
+
+func (s *Sender) openGate() { s.gated = false }
+
+// consult reads what is decided in common, once a turn, and applies what is to be withdrawn.
+func (s *Sender) consult() {
+	if s.cluster == nil {
+		return
+	}
+	s.guide = s.cluster.Guide()
+	if !s.failing {
+		s.applyPurges()
+	}
+}
+
+// Allowed is the module's question whether a notice may go to an endpoint. An endpoint that is not listed any more has
+// no zone that could be closed.
+func (s *Sender) Allowed(id choice.NoticeID, to choice.EndpointID) bool {
+	if s.guide == nil {
+		return true
+	}
+	e := s.endpoints[to]
+	return e == nil || s.guide.Allowed(id, e.dest, e.zone)
+}
+
+// Orders are what a cluster may ask of this sender. Purges are applied once it has been joined.
+func (s *Sender) Orders() together.Orders { return orders{s} }
+
+// orders hands each order to the loop, in the order given. None of them waits, so that they may be called on the loop
+// too. Nothing is dropped: who gives orders waits for an answer before it gives many more. After the sender's end
+// nothing is answered.
+type orders struct{ s *Sender }
+
+func (o orders) Applied() uint64 { return o.s.applied.Load() }
+
+func (o orders) Purge(all []together.Purge, done func(uint64, []together.Found)) {
+	at := o.s.Now() // ages run on while it waits for the loop
+	o.s.ask(func() { o.s.purge(all, at, done) })
+}
+
+func (o orders) Evict(all []choice.DestinationID, done func([]choice.DestinationID)) {
+	o.s.ask(func() {
+		kept := o.s.evict(all)
+		o.s.afterAppend(func() { done(kept) })
+	})
+}
+
+func (o orders) Holding(done func([]together.Held)) {
+	o.s.ask(func() {
+		all := o.s.held()
+		o.s.afterAppend(func() { done(all) })
+	})
+}
+
+func (o orders) Teach(lessons []together.Lesson) { o.s.ask(func() { o.s.teach(lessons) }) }
+
+func (o orders) Know(of []choice.DestinationID, done func([]together.Lesson)) {
+	o.s.ask(func() {
+		all := o.s.know(of)
+		o.s.afterAppend(func() { done(all) })
+	})
+}
+
+// mailbox holds orders on their way to the loop. Its lock is held for an append or a swap.
+type mailbox struct {
+	sync.Mutex
+	waiting []func()
+}
+
+// ask hands the loop something to do without ever waiting for it.
+func (s *Sender) ask(f func()) {
+	s.mail.Lock()
+	defer s.mail.Unlock()
+	select {
+	case <-s.stop:
+		return // nobody takes them any more
+	default:
+	}
+	s.mail.waiting = append(s.mail.waiting, f)
+	if len(s.mail.waiting) == 1 {
+		go s.post(s.takeOrders)
+	}
+}
+
+func (s *Sender) takeOrders() {
+	s.mail.Lock()
+	all := s.mail.waiting
+	s.mail.waiting = nil
+	s.mail.Unlock()
+	for _, f := range all {
+		f()
+	}
+	s.stirred = true
+}
+
+// afterAppend keeps an answer until what it tells is on disk.
+func (s *Sender) afterAppend(f func()) { s.answers = append(s.answers, f) }
+
+func (s *Sender) answerOrders() {
+	all := s.answers
+	s.answers = nil
+	for _, f := range all {
+		f()
+	}
+}
--- a/internal/sender/learnt.go
+++ b/internal/sender/learnt.go
@@ -53,13 +53,47 @@
 	}
 	s.learnt, s.learntAt = map[choice.EndpointID]learnt{}, l.At
 	for _, k := range l.Endpoints {
-		if k.Mean > 0 && k.Dev >= 0 && k.Past > 0 && k.Seen >= 0 && k.Limit >= 0 && k.Wait >= 0 && k.Wait < math.MaxInt32 {
+		if sensible(k.Learnt) {
 			s.learnt[k.Endpoint] = k
 		}
 	}
 	s.log.Info("learnt", zap.Int("endpoints", len(s.learnt)), zap.Int("left_out", len(l.Endpoints)-len(s.learnt)))
 }
 
+// sensible tells whether what comes from elsewhere can be believed.
+func sensible(k choice.Learnt) bool {
+	return k.Mean > 0 && k.Dev >= 0 && k.Past > 0 && k.Seen >= 0 && k.Limit >= 0 && k.Wait >= 0 && k.Wait < math.MaxInt32
+}
+
+// unlearn takes what an earlier life learnt out of the file, where it would come back with a start after a kill, and
+// tells of how many endpoints that was. It leaves the file as it is where it can't be read: then it teaches nobody.
+func (s *Sender) unlearn(of func(choice.DestinationID) bool) (ends []choice.EndpointID, err error) {
+	text, err := journal.Get(s.cfg.State, learntFile)
+	var l lesson
+	if err != nil || json.Unmarshal(text, &l) != nil {
+		if errors.Is(err, fs.ErrNotExist) {
+			err = nil
+		}
+		return nil, err
+	}
+	kept := l
+	kept.Endpoints = nil
+	for _, k := range l.Endpoints {
+		if of(k.Destination) {
+			ends = append(ends, k.Endpoint)
+		} else {
+			kept.Endpoints = append(kept.Endpoints, k)
+		}
+	}
+	if len(ends) == 0 {
+		return nil, nil
+	}
+	if text, err = json.Marshal(kept); err == nil {
+		err = s.journal.Put(learntFile, text)
+	}
+	return ends, err
+}
+
 // remembered gives what was learnt of an endpoint to its first entry, and once: later it is out of date. The wait has
 // run on meanwhile.
 func (s *Sender) remembered(e choice.Entry, addr string) *choice.Learnt {
--- /dev/null
+++ b/internal/sender/outcomes_test.go
@@ -0,0 +1,130 @@
+package sender
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"flaxcove/choice"
+)
+
+// A report counts where it is whole and makes sense; half a one would say that there is no limit.
+func Example_reports() {
+	for _, text := range []string{"x0=0.4,x1=25", "x1=0, x0=1", "x0=0.4", "x0=0.4,x1=", "x0=7,x1=25", "x0=0.4,x1=-1", "x0=NaN,x1=1", ";;\xff"} {
+		a := answer{}
+		a.fields, a.report = readReport([]byte(text))
+		fmt.Printf("%q %+v\n", text, a.told())
+	}
+	// Output:
+	// "x0=0.4,x1=25" {Known:true Left:0.4 Limit:25}
+	// "x1=0, x0=1" {Known:true Left:1 Limit:0}
+	// "x0=0.4" {Known:false Left:0 Limit:0}
+	// "x0=0.4,x1=" {Known:false Left:0 Limit:0}
+	// "x0=7,x1=25" {Known:false Left:0 Limit:0}
+	// "x0=0.4,x1=-1" {Known:false Left:0 Limit:0}
+	// "x0=NaN,x1=1" {Known:false Left:0 Limit:0}
+	// ";;\xff" {Known:false Left:0 Limit:0}
+}
+
+// A new link that an endpoint refuses and ends found no place there: the notices go on trying, where refusals of a
+// limit on links that stay have the route pause.
+func Example_fullTable() {
+	for _, head := range []string{"Connection: close\n", ""} {
+		r := start("", 100)
+		for _, id := range []string{"s1", "s2"} {
+			r.hand("OUT.ADD 0 " + id + " c=status,d=6000,dest=1 x").turn(10 * time.Millisecond)
+			r.answer("HTTP/1.1 503 Full\n" + head + "Content-Length: 0\n\n")
+		}
+		r.turn(140 * time.Millisecond)
+	}
+	// Output:
+	// call a: POST /inbox
+	//    s1
+	// client: +OK
+	// call a: POST /inbox
+	//    s1
+	// call a: POST /inbox
+	//    s2
+	// client: +OK
+	// call a: POST /inbox
+	//    s2
+	// call a: POST /inbox
+	//    s2
+	// call a: POST /inbox
+	//    s1
+	// client: +OK
+	// call a: POST /inbox
+	//    s1
+	// call a: POST /inbox
+	//    s2
+	// client: +OK
+	// call a: POST /inbox
+	//    s2
+}
+
+// How a call of a single-use notice ended decides whether it may be sent again.
+func Example_outcomes() {
+	for _, text := range []string{ok, lost, full, "HTTP/1.1 503 Full\nContent-Length: 0\n\n", "HTTP/1.1 503 Full\nX-No-Slot: 1\nContent-Length: 0\n\n",
+		"HTTP/1.1 410 Gone\nContent-Length: 0\n\n", "HTTP/1.1 504 Out\nContent-Length: 0\n\n", "HTTP/1.1 200 OK\nContent-", "HTTP/1.1 429 Wait\nCont", "HTTP/1.", "", unsent, "nonsense\n"} {
+		r := start("", 100)
+		c := &client{room: make(chan struct{}, 1), gone: true}
+		c.room <- struct{}{}
+		r.s.command(c, [][]byte{[]byte("OUT.ADD"), []byte("0"), []byte("id"), []byte("c=order,d=20000,dest=1"), nil})
+		r.s.turn()
+		n := r.s.owed["id"]
+		r.answer(text)
+		fmt.Printf("%-20.20q may have run: %-5v owed: %v\n", text, n.MayRun, r.s.owed["id"] != nil && n.ending.what == endNone)
+		os.RemoveAll(r.dir)
+	}
+	// Output:
+	// "HTTP/1.1 200 OK\nCont" may have run: false owed: false
+	// "HTTP/1.1 500 Error\nC" may have run: true  owed: false
+	// "HTTP/1.1 429 Wait\nRe" may have run: false owed: true
+	// "HTTP/1.1 503 Full\nCo" may have run: false owed: true
+	// "HTTP/1.1 503 Full\nX-" may have run: false owed: true
+	// "HTTP/1.1 410 Gone\nCo" may have run: false owed: false
+	// "HTTP/1.1 504 Out\nCon" may have run: false owed: true
+	// "HTTP/1.1 200 OK\nCont" may have run: false owed: false
+	// "HTTP/1.1 429 Wait\nCo" may have run: true  owed: false
+	// "HTTP/1."            may have run: true  owed: false
+	// ""                   may have run: true  owed: false
+	// "its last byte was no" may have run: false owed: true
+	// "nonsense\n"         may have run: true  owed: false
+}
+
+// A list that drops an endpoint, or moves it, takes its connections along; unreadable entries are left out.
+func Example_list() {
+	r := start("", 100)
+	r.list(`{"version":2,"full":false,"servers":[{"id":"a","addr":"","cell":1,"state":"removed"},{"id":"b","cell":2,"state":"odd"},
+		{"id":"c","addr":"127.0.0.1:3","zone":"z","kind":"one","cell":1,"state":"up","weight":1}]}`)
+	r.hand("OUT.ADD 00 x c=status,d=6000,dest=1 x")
+	fmt.Println(len(r.s.endpoints), r.s.endpoints["a"] == nil)
+	os.RemoveAll(r.dir)
+	// Output:
+	// call c: POST /inbox
+	//    x
+	// client: +OK
+	// 3 true
+}
+
+// FuzzEndpoint: whatever an endpoint says to a bundle, each notice has one outcome and none is lost.
+func FuzzEndpoint(f *testing.F) {
+	f.Add(ok)
+	f.Add("HTTP/1.1 200 OK\nRetry-After: 1e9\nX-Load: x0=NaN,x1=-1,=,\nContent-Length: 29\n\n" + `[{"id":"s1","state":"later"}]`)
+	f.Fuzz(func(t *testing.T, text string) {
+		r := start(t.TempDir(), 100)
+		c := &client{room: make(chan struct{}, window), gone: true}
+		for _, id := range []string{"s1", "s2"} {
+			c.room <- struct{}{}
+			r.s.command(c, [][]byte{[]byte("OUT.ADD"), []byte("0"), []byte(id), []byte("c=status,d=6000,dest=2"), nil})
+		}
+		r.s.turn()
+		r.answer(text)
+		for _, n := range []choice.NoticeID{"s1", "s2"} {
+			if n := r.s.owed[n]; n != nil && n.out != nil {
+				t.Fatalf("%s: still out", n.ID)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/sender/purge.go
@@ -0,0 +1,199 @@
+package sender
+
+// This file withdraws: it owns the purges that wait for the loop, those applied last, and what becomes of each notice
+// that one means. It must never answer a purge before its effect is on disk, apply one twice or out of order, touch
+// what was taken on after it, or report as not begun what may have run.
+//
+// The journal holds one record a purge, beside the usual ones of each notice's end, in the append of one turn. A notice
+// whose call is out has its end (given up) written at once, and told when the call is over: delivered where the answer
+// says so, else given up. A process that is killed in between gives it up at its next start and never sends it again.
+// Where no time is left for the call's answer, its time-out or the notice's hard stop ends the wait.
+
+import (
+	"encoding/binary"
+	"slices"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"flaxcove/choice"
+	"flaxcove/internal/journal"
+	"flaxcove/internal/sender/together"
+)
+
+const (
+	// Work of a turn is bounded, or ten thousand purges over a full table would hold up the loop for a second:
+	// comparisons, of some 10 ns each, and records.
+	purgeWork  = 50_000
+	purgesTurn = 256
+	learntWork = 5_000 // one that has a file read
+	// So many are answered again as they were, through a restart too; older ones with nothing found. A record is 40
+	// bytes at most.
+	mostPurges = 256
+)
+
+type purging struct {
+	waiting []purgeOrder
+	applied atomic.Uint64 // the highest Seq on disk; the loop alone writes it
+	seq     uint64        // the highest one applied
+	past    []purged      // the last ones, by Seq
+}
+
+// purgeOrder is one call of Orders.Purge, of which some are applied.
+type purgeOrder struct {
+	all   []withdrawal
+	found []together.Found
+	done  func(uint64, []together.Found)
+}
+
+type purged struct {
+	seq   uint64
+	found together.Found
+}
+
+func (s *Sender) purge(all []together.Purge, at choice.Time, done func(uint64, []together.Found)) {
+	o := purgeOrder{done: done}
+	for _, p := range all {
+		o.all = append(o.all, since(p, at))
+	}
+	s.purging.waiting = append(s.purging.waiting, o)
+}
+
+// applyPurges goes on with what waits, as far as this turn's work allows.
+func (s *Sender) applyPurges() {
+	work := 0
+	for len(s.purging.waiting) > 0 && work < purgeWork {
+		o := &s.purging.waiting[0]
+		for records := 0; len(o.found) < len(o.all) && work < purgeWork && records < purgesTurn; records++ {
+			w := &o.all[len(o.found)]
+			f, err := s.applyOnce(w)
+			if err != nil {
+				s.log.Error("purge not applied yet", zap.Uint64("seq", w.Seq), zap.Error(err))
+				s.after(retryTurn, func() {})
+				return
+			}
+			o.found = append(o.found, f)
+			work += 1 + len(s.order) + len(s.admitted)
+			if w.Learnt {
+				work += learntWork
+			}
+		}
+		if len(o.found) < len(o.all) {
+			s.stirred = true
+			return
+		}
+		done, found := o.done, o.found
+		s.purging.waiting = slices.Delete(s.purging.waiting, 0, 1)
+		s.afterAppend(func() {
+			s.applied.Store(s.seq)
+			done(s.seq, found)
+		})
+	}
+	s.stirred = s.stirred || len(s.purging.waiting) > 0
+}
+
+// applyOnce applies a purge, unless that was done: then it is answered as it was.
+func (s *Sender) applyOnce(w *withdrawal) (f together.Found, err error) {
+	if w.Seq <= s.seq {
+		if i := slices.IndexFunc(s.past, func(p purged) bool { return p.seq == w.Seq }); i >= 0 {
+			f = s.past[i].found
+		}
+		return f, nil
+	}
+	if w.Learnt {
+		if f.Learnt, err = s.forgetLearnt(w); err != nil {
+			return f, err
+		}
+	}
+	for _, list := range [][]*notice{s.order, s.admitted} { // lists, as a map has no order
+		for _, n := range list {
+			if n.withdrawn || !w.takes(n.Destination, n.workload, n.key, n.takenAt) {
+				continue
+			} else if n.ending.what == endNone {
+				s.withdraw(n, &f)
+			} else if n.lasting {
+				f.Delivered++ // or ended otherwise; it stays in order until the file is written anew
+			}
+		}
+	}
+	s.rememberPurge(purged{w.Seq, f})
+	s.journal.Add(s.past[len(s.past)-1].record())
+	s.counts.purges++
+	level := zap.DebugLevel // a process that was away for long applies thousands
+	if f != (together.Found{}) {
+		level = zap.InfoLevel
+	}
+	s.log.Log(level, "purge", zap.Uint64("seq", w.Seq), zap.String("id", w.ID), zap.Bool("learnt", w.Learnt),
+		zap.Any("found", f))
+	return f, nil
+}
+
+// withdraw ends a notice, or sees to it that it ends with the call that is out.
+func (s *Sender) withdraw(n *notice, f *together.Found) {
+	n.withdrawn = true
+	s.module.Withdrawn(n.ID)
+	if c := n.out; c != nil && c.link != nil {
+		f.MayRun++
+		s.counts.withdrawnOut++
+		s.journal.Add(endRecord(n.ID, ending{what: endGivenUp}))
+		return
+	} else if c != nil {
+		s.part(c, n) // nothing of it has left
+		s.abandon(c)
+	}
+	if n.MayRun {
+		f.MayRun++
+	} else {
+		f.NotBegun++
+	}
+	s.end(n, ending{what: endGivenUp})
+}
+
+// abandon ends a call that waits for its connection once it carries nothing any more. One that has not begun yet ends
+// as it would begin.
+func (s *Sender) abandon(c *call) {
+	if len(c.notices) > 0 || len(c.timers) == 0 || c.over {
+		return
+	}
+	c.over = true
+	for _, t := range c.timers {
+		s.takeBack(t)
+	}
+}
+
+// rememberPurge keeps the newest mostPurges. What a rewriting keeps of them counts against the disk.
+func (p *purging) remember(done purged) (bytes int64) {
+	if done.seq <= p.seq {
+		return 0
+	}
+	p.seq = done.seq
+	if len(p.past) == mostPurges {
+		bytes -= journal.Framed(len(p.past[0].record()))
+		p.past = slices.Delete(p.past, 0, 1)
+	}
+	p.past = append(p.past, done)
+	return bytes + journal.Framed(len(done.record()))
+}
+
+func (s *Sender) rememberPurge(done purged) { s.live += s.purging.remember(done) }
+
+func (p purged) record() []byte {
+	out := binary.AppendUvarint([]byte{recPurge}, p.seq)
+	for _, n := range []int{p.found.NotBegun, p.found.MayRun, p.found.Delivered, p.found.Learnt} {
+		out = binary.AppendVarint(out, int64(n))
+	}
+	return out
+}
+
+func readPurged(record []byte) (p purged, whole bool) {
+	seq, used := binary.Uvarint(record[1:])
+	if used <= 0 {
+		return p, false
+	}
+	f := fields{rest: record[1+used:]}
+	p.seq = seq
+	for _, n := range []*int{&p.found.NotBegun, &p.found.MayRun, &p.found.Delivered, &p.found.Learnt} {
+		*n = int(f.number())
+	}
+	return p, !f.broken
+}
--- /dev/null
+++ b/internal/sender/purge_test.go
@@ -0,0 +1,306 @@
+package sender
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"flaxcove/choice"
+	"flaxcove/internal/sender/together"
+)
+
+// purge has notices withdrawn and prints what was found, once it is answered.
+func (r *rig) purge(age time.Duration, seq uint64, m together.Match) *rig {
+	r.s.Orders().Purge([]together.Purge{{Seq: seq, Match: m, Age: age}}, func(applied uint64, found []together.Found) {
+		fmt.Printf("applied %d: %+v\n", applied, found)
+	})
+	return r.take()
+}
+
+// A notice that waits for its call's connection, for a place or for an endpoint ends at once, and its call goes on for
+// the others of the bundle. What the purge does not mean, or was taken on after it, is not touched.
+func Example_purgeNotBegun() {
+	r := start("", 100)
+	r.join(Joining{})
+	r.hand("OUT.ADD 0 o1 c=order,d=20000,dest=2 x", "OUT.ADD 0 s1 c=status,d=6000,dest=2 x",
+		"OUT.ADD 0 nobody c=order,d=20000,dest=9 x")
+	r.hand("OUT.ADD 0 later c=order,d=20000,dest=9 x")
+	r.purge(7*time.Millisecond, 3, together.Match{Workload: "order"}).turn(5 * time.Millisecond)
+	c := r.calls[0]
+	r.purge(0, 4, together.Match{Workload: "status"}).turn(5 * time.Millisecond)
+	fmt.Println("the call is over:", c.over, "timers:", len(r.s.timers))
+	r.purge(time.Hour, 5, together.Match{}).turn(5 * time.Millisecond).owed()
+	os.RemoveAll(r.dir)
+	// Output:
+	// call b: POST /inbox/bulk
+	//    o1
+	//    s1
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// call b: POST /inbox/bulk
+	//    o1
+	//    s1
+	// client: +OK
+	// applied 3: [{NotBegun:2 MayRun:0 Delivered:0 Learnt:0}]
+	// platform: {"message":"o1","outcome":"given_up"}
+	// {"message":"nobody","outcome":"given_up"}
+	// call b: POST /inbox
+	//    s1
+	// applied 4: [{NotBegun:1 MayRun:0 Delivered:0 Learnt:0}]
+	// platform: {"message":"s1","outcome":"given_up"}
+	// the call is over: true timers: 3
+	// applied 5: [{NotBegun:0 MayRun:0 Delivered:0 Learnt:0}]
+	// owed: 1 to the platform: 0
+}
+
+// Wherever a notice stands, it ends once: at once where no call of it is out, else with the call, as its answer says; it
+// is never sent again, after a kill neither, and what was found is told.
+func TestPurgeFindsNotice(t *testing.T) {
+	stdout := os.Stdout
+	os.Stdout, _ = os.OpenFile(os.DevNull, os.O_WRONLY, 0)
+	defer func() { os.Stdout = stdout }()
+	for _, c := range []struct {
+		stands, before, after string
+		dest                  int
+		found                 together.Found
+		told                  string
+	}{
+		{stands: "waits for an endpoint", dest: 9, found: together.Found{NotBegun: 1}, told: "given_up"},
+		{stands: "waits for its connection", found: together.Found{NotBegun: 1}, told: "given_up"},
+		{stands: "waits after a refusal", before: full, found: together.Found{NotBegun: 1}, told: "given_up"},
+		{stands: "waits after an error", before: lost, found: together.Found{MayRun: 1}, told: "given_up"},
+		{stands: "out, then done", after: ok, found: together.Found{MayRun: 1}},
+		{stands: "out, then refused", after: full, found: together.Found{MayRun: 1}, told: "given_up"},
+		{stands: "out, then an error", after: lost, found: together.Found{MayRun: 1}, told: "given_up"},
+		{stands: "out, then killed", after: "kill", found: together.Found{MayRun: 1}, told: "given_up"},
+		{stands: "done", before: ok, found: together.Found{Delivered: 1}},
+	} {
+		told := ""
+		watch := func(r *rig) *rig {
+			r.join(Joining{})
+			r.s.tell = func(_ string, body []byte) (int, error) {
+				told += string(body)
+				return 204, nil
+			}
+			return r
+		}
+		r := watch(start(t.TempDir(), 100))
+		r.hand(fmt.Sprintf("OUT.ADD 0 id c=status,d=6000,dest=%d x", max(1, c.dest)))
+		if c.before != "" {
+			r.answer(c.before)
+		} else if c.after != "" {
+			r.calls[0].link = &link{s: r.s, e: r.calls[0].e}
+		}
+		var found []together.Found
+		r.s.Orders().Purge([]together.Purge{{Seq: 1, Match: together.Match{KeyPrefix: "0"}}},
+			func(_ uint64, f []together.Found) { found = f })
+		r.take().turn(5 * time.Millisecond)
+		if c.after == "kill" {
+			r = watch(start(r.dir, 100))
+		} else if c.after != "" {
+			r.answer(c.after)
+		}
+		r.turn(7 * time.Second)
+		for _, out := range r.calls {
+			if !out.over && !out.probe {
+				t.Errorf("%s: sent again", c.stands)
+			}
+		}
+		if len(found) != 1 || found[0] != c.found || strings.Count(told, "message") > 1 || !strings.Contains(told, c.told) ||
+			(told == "") != (c.told == "") || len(r.s.owed)+len(start(r.dir, 100).s.owed) > 0 {
+			t.Errorf("%s: found %+v, told %q, owed %d", c.stands, found, told, len(r.s.owed))
+		}
+	}
+}
+
+// The notices of an ordered key end behind its head, whose call is out; what comes after the purge has its turn. A
+// purge that overlaps counts no notice a second time.
+func Example_purgeOrderedKey() {
+	dir, _ := os.MkdirTemp("", "sender")
+	r := startAs(configureAs(dir, before, listBefore))
+	r.join(Joining{})
+	r.hand("OUT.ADD k head c=change,d=20000,dest=1 x", "OUT.ADD k next c=change,d=20000,dest=1 x",
+		"OUT.ADD other o c=change,d=20000,dest=1 x")
+	for _, c := range r.calls {
+		c.link = &link{s: r.s, e: c.e}
+	}
+	r.purge(0, 1, together.Match{Key: "k"}).purge(0, 2, together.Match{Workload: "change"}).turn(5 * time.Millisecond)
+	r.hand("OUT.ADD k new c=change,d=20000,dest=1 x")
+	for len(r.calls) > 0 {
+		r.answer(ok)
+	}
+	r.turn(5 * time.Millisecond).owed()
+	os.RemoveAll(dir)
+	// Output:
+	// call a: POST /inbox
+	//    o
+	// call a: POST /inbox
+	//    head
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// applied 2: [{NotBegun:1 MayRun:1 Delivered:0 Learnt:0}]
+	// applied 2: [{NotBegun:0 MayRun:1 Delivered:0 Learnt:0}]
+	// platform: {"message":"next","outcome":"given_up"}
+	// call a: POST /inbox
+	//    o
+	// call a: POST /inbox
+	//    head
+	// call a: POST /inbox
+	//    o
+	// call a: POST /inbox
+	//    head
+	// client: +OK
+	// call a: POST /inbox
+	//    new
+	// owed: 1 to the platform: 0
+}
+
+// A purge that comes between a hand-in and the end of its turn: the client is told itself, the platform is not, and
+// nothing is on record.
+func Example_purgeCrossesHandIn() {
+	r := start("", 100)
+	r.join(Joining{})
+	c := &client{room: make(chan struct{}, window), writing: 1}
+	c.room <- struct{}{}
+	r.s.command(c, words("OUT.ADD 0 id c=order,d=20000,dest=1 x"))
+	r.purge(0, 1, together.Match{Key: "0"}).turn(5 * time.Millisecond).owed()
+	fmt.Printf("client: %q, calls: %d\n", c.out, len(r.calls))
+	start(r.dir, 100).owed()
+	os.RemoveAll(r.dir)
+	// Output:
+	// applied 1: [{NotBegun:1 MayRun:0 Delivered:0 Learnt:0}]
+	// owed: 0 to the platform: 0
+	// client: "-ERR given up\r\n", calls: 0
+	// owed: 0 to the platform: 0
+}
+
+// A process killed between the effect of a purge and its acknowledgement answers it again as it was, applies it to
+// nothing that came later, and tells the platform what it still owes it. When a notice was taken on outlasts the kill;
+// of an older record it is not known, and so counts as long ago.
+func Example_purgeRestart() {
+	r := start("", 100)
+	r.join(Joining{})
+	r.up = false
+	r.hand("OUT.ADD 0 old c=order,d=20000,dest=9 x")
+	r.purge(0, 7, together.Match{Workload: "order"}).turn(100 * time.Millisecond)
+	r.hand("OUT.ADD 0 new c=order,d=900000,dest=9 x")
+	takenAt := r.s.owed["new"].takenAt
+	again := func(at time.Duration) {
+		fmt.Println("killed")
+		r = startAt(configure(r.dir, 100), at)
+		r.join(Joining{})
+	}
+	rewrite := func() {
+		r.s.order = deleteEnded(r.s.order)
+		r.s.journal.Rewrite(r.s.records)
+	}
+	again(2 * time.Minute)
+	fmt.Println("applied:", r.s.Orders().Applied(), "taken on then:", r.s.owed["new"].takenAt == takenAt)
+	r.purge(0, 7, together.Match{Workload: "order"}).turn(5 * time.Millisecond).owed()
+	rewrite()
+	again(2 * time.Minute)
+	r.purge(time.Minute, 8, together.Match{Workload: "order"}).turn(5 * time.Millisecond).owed()
+	again(time.Minute)
+	fmt.Println("the wall clock was put back:", r.s.owed["new"].takenAt == r.s.Now())
+	r.s.owed["new"].takenAt = 0
+	rewrite()
+	again(2 * time.Minute)
+	r.purge(time.Hour, 9, together.Match{Workload: "order"}).turn(5 * time.Millisecond).owed()
+	os.RemoveAll(r.dir)
+	// Output:
+	// client: +OK
+	// applied 7: [{NotBegun:1 MayRun:0 Delivered:0 Learnt:0}]
+	// client: +OK
+	// killed
+	// applied: 7 taken on then: true
+	// applied 7: [{NotBegun:1 MayRun:0 Delivered:0 Learnt:0}]
+	// platform: {"message":"old","outcome":"given_up"}
+	// owed: 1 to the platform: 0
+	// killed
+	// applied 8: [{NotBegun:0 MayRun:0 Delivered:0 Learnt:0}]
+	// owed: 1 to the platform: 0
+	// killed
+	// the wall clock was put back: true
+	// killed
+	// applied 9: [{NotBegun:1 MayRun:0 Delivered:0 Learnt:0}]
+	// platform: {"message":"new","outcome":"given_up"}
+	// owed: 0 to the platform: 0
+}
+
+// Ten thousand purges are applied over many turns, in order, none of which takes long; the journal stays within its
+// bound, and the last ones are still answered as they were after a restart.
+func TestManyPurges(t *testing.T) {
+	stdout := os.Stdout
+	os.Stdout, _ = os.OpenFile(os.DevNull, os.O_WRONLY, 0)
+	defer func() { os.Stdout = stdout }()
+	const many = 10_000
+	r := start(t.TempDir(), 1000)
+	r.join(Joining{})
+	for i := range 100 {
+		r.hand(fmt.Sprintf("OUT.ADD key-%d n%d c=order,d=20000,dest=9 x", i*100, i))
+	}
+	var all []together.Purge
+	for i := range many {
+		all = append(all, together.Purge{Seq: uint64(i + 1), Match: together.Match{Key: fmt.Sprintf("key-%d", i)}})
+	}
+	ask := func(all []together.Purge) (found []together.Found, turns int) {
+		r.s.Orders().Purge(all, func(_ uint64, f []together.Found) { found = f })
+		for r.take(); found == nil; turns++ {
+			if r.turn(5 * time.Millisecond); turns > many {
+				t.Fatal("never answered")
+			}
+		}
+		return found, turns
+	}
+	found, turns := ask(all)
+	for i, f := range found {
+		if want := (together.Found{NotBegun: map[bool]int{true: 1}[i%100 == 0]}); f != want {
+			t.Fatalf("purge %d found %+v", i, f)
+		}
+	}
+	if turns < many/purgesTurn || len(r.s.past) > mostPurges {
+		t.Errorf("%d turns, %d kept", turns, len(r.s.past))
+	}
+	if size, limit := r.s.journal.Size(), r.s.journal.Limit(); size > limit {
+		t.Errorf("the journal holds %d of %d bytes", size, limit)
+	}
+	r = start(r.dir, 1000)
+	r.join(Joining{})
+	if got := r.s.Orders().Applied(); got != many {
+		t.Fatalf("applied %d after a restart", got)
+	}
+	if again, _ := ask(all[many-mostPurges:]); again[many-100-(many-mostPurges)].NotBegun != 1 {
+		t.Errorf("answered again otherwise: %+v", again)
+	}
+}
+
+// What was learnt of a destination is void on order, on disk too: a kill must not bring it back.
+func TestPurgeOfWhatWasLearnt(t *testing.T) {
+	dir := t.TempDir()
+	file := dir + "/" + learntFile
+	text := `{"at":1,"endpoints":[{"endpoint":"gone","destination":1,"addr":"x","Mean":5,"Past":5,"Seen":1},
+{"endpoint":"b","destination":2,"addr":"127.0.0.1:2","Mean":5,"Past":5,"Seen":1}]}`
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r := start(dir, 100)
+	r.join(Joining{})
+	m := &recollection{}
+	r.s.memory = m
+	d := choice.DestinationID(1)
+	var found []together.Found
+	r.s.Orders().Purge([]together.Purge{{Seq: 1, Learnt: true, Match: together.Match{Destination: &d}},
+		{Seq: 2, Learnt: true, Match: together.Match{Workload: "order"}}}, func(_ uint64, f []together.Found) { found = f })
+	r.take().turn(5 * time.Millisecond)
+	if len(found) != 2 || found[0].Learnt != 2 || found[1].Learnt != 0 || len(m.void) != 1 {
+		t.Errorf("found %+v, void %v", found, m.void)
+	}
+	left, _ := os.ReadFile(file)
+	if strings.Contains(string(left), "gone") || !strings.Contains(string(left), `"b"`) {
+		t.Errorf("on disk: %s", left)
+	}
+}
--- /dev/null
+++ b/internal/sender/reading.go
@@ -0,0 +1,79 @@
+package sender
+
+// This file reads what endpoints say: it owns the way of bytes from a link into an answer. It must never take bytes
+// that nobody asked for as an answer, nor wait for the loop while the loop waits for it.
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"flaxcove/internal/http1"
+)
+
+// restFor is how long the rest of an answer may take: endpoints write one in one go, and what stops in the
+// middle would hold a slot until the call's time-out.
+const restFor = 250 * time.Millisecond
+
+var errUnasked = errors.New("bytes that nobody asked for")
+
+// onBytes reads what an endpoint says and hands on each whole answer.
+func (l *link) onBytes(_ context.Context, conn netpoll.Connection) error {
+	tell, err := l.read(conn)
+	if tell != nil {
+		l.s.post(tell)
+	}
+	if err != nil {
+		// At once: it may go on for gigabytes.
+		l.bad.Store(true)
+		err = errors.Join(err, conn.Close())
+	}
+	return err
+}
+
+// read takes in what has come and returns what the loop is to be told. It tells nothing itself, since the loop may
+// wait for the lock.
+func (l *link) read(conn netpoll.Connection) (tell func(), err error) {
+	l.reading.Lock()
+	defer l.reading.Unlock()
+	r := conn.Reader()
+	piece, err := r.Next(r.Len())
+	if err != nil {
+		return nil, err
+	}
+	if l.asked.Load() {
+		err = l.answer.Feed(piece)
+	} else {
+		err = errUnasked
+	}
+	r.Release()
+	if err == nil && l.answer.Done {
+		a := readAnswer(&l.answer)
+		// Bytes behind an answer would be read as the start of the next.
+		a.close = a.close || l.answer.Left() > 0
+		l.answer = http1.Answer{}
+		l.asked.Store(false)
+		l.halfway = false
+		return func() { l.s.answered(l, a) }, nil
+	}
+	if err == nil && !l.halfway {
+		l.halfway = true
+		return func() { l.s.answerBegan(l) }, nil
+	}
+	return nil, err
+}
+
+// answerBegan sees to it that the rest of the answer comes soon. What had come by then decides how the call ended.
+func (s *Sender) answerBegan(l *link) {
+	c := l.call
+	l.began = c
+	if c != nil {
+		s.after(restFor, func() {
+			if l.call == c && !c.over {
+				s.closeLink(l, badAnswer)
+			}
+		})
+	}
+}
--- a/internal/sender/relay.go
+++ b/internal/sender/relay.go
@@ -149,6 +149,7 @@
 		s.module.Probed(c.e.id, a.result)
 		return
 	}
+	s.saw(c, a)
 	took := s.Now() - c.began
 	for _, n := range c.notices {
 		if n.out != c {
@@ -178,6 +179,8 @@
 	s.module.Ended(o)
 	if o.Final {
 		s.over(n)
+	} else if n.withdrawn {
+		s.end(n, ending{what: endGivenUp})
 	}
 }
 
--- /dev/null
+++ b/internal/sender/replay.go
@@ -0,0 +1,120 @@
+package sender
+
+// This file replays: it owns the start from the journal of an earlier process. It must never fail on a record that
+// cannot be read, nor go on where notices would be lost.
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"flaxcove/choice"
+	"flaxcove/internal/journal"
+)
+
+// openJournal rebuilds what an earlier process owed, in the order it was taken on.
+func (s *Sender) openJournal() (unfinished []*notice, err error) {
+	s.owed, s.admission.ended = map[choice.NoticeID]*notice{}, map[choice.NoticeID]struct{}{}
+	strange := map[string]int{}
+	limit := int64(s.cfg.Limits.DiskMB * 1e6)
+	j, dropped, err := journal.Open(s.cfg.State, limit, s.replay)
+	if err != nil {
+		return nil, err
+	}
+	s.journal = j
+	s.order = deleteEnded(s.order)
+	for _, n := range s.order {
+		s.live += n.size + endRecords
+		if n.ending.what != endNone {
+			s.endings = append(s.endings, n)
+		} else if _, known := s.cfg.Workloads[n.workload]; !known {
+			strange[n.workload]++
+		} else {
+			unfinished = append(unfinished, n)
+		}
+	}
+	for _, workload := range slices.Sorted(maps.Keys(strange)) {
+		// To go on would lose them: nothing is known of what may be repeated, or of how long.
+		return nil, errors.Join(fmt.Errorf("field state: %s owes %d notices of workload %q, which field settings.classes does not name; "+
+			"end them under the settings that they came with", s.cfg.State, strange[workload], workload), j.Close())
+	}
+	for _, n := range s.unnamed {
+		if n.MayRun && s.owed[n.ID] == n {
+			j.Add(outRecord(n.ID, n.RanAt, n.RanIn, n.ranIn))
+		}
+	}
+	s.unnamed = nil
+	if err := j.Flush(); err != nil {
+		return nil, errors.Join(err, j.Close())
+	}
+	s.counts.replayed = int64(len(s.order))
+	s.log.Info("journal open", zap.Int("owed", len(s.order)), zap.Int64("bytes", j.Size()), zap.Int64("dropped", dropped))
+	return unfinished, nil
+}
+
+// replay takes one record. One that cannot be read, or speaks of an unknown id, is passed over.
+func (s *Sender) replay(record []byte) {
+	if record[0] == recPurge {
+		if p, whole := readPurged(record); whole {
+			s.rememberPurge(p)
+			s.applied.Store(s.seq)
+		}
+		return
+	}
+	p := fields{rest: record[1:]}
+	id := choice.NoticeID(p.text())
+	n := s.owed[id]
+	if record[0] == recTaken && n == nil {
+		n = &notice{lasting: true, size: journal.Framed(len(record))}
+		n.ID, n.key, n.workload = id, p.text(), p.text()
+		n.HardStop, n.Destination = choice.Time(p.number()), choice.DestinationID(p.number())
+		n.body = []byte(p.text())
+		if !p.broken && len(p.rest) > 0 {
+			// A wall clock that was put back meanwhile must not have it count as taken on later than now.
+			n.takenAt = min(n.HardStop-choice.Time(p.number()), s.Now())
+		}
+		n.Workload = s.cfg.Workloads[n.workload] // an unknown one has the start refused, unless it is over
+		if p.broken {
+			s.log.Warn("journal: a notice cannot be read", zap.String("id", string(id)), zap.String("workload", n.workload))
+			return
+		}
+		n.Key = orderKey(n.key)
+		s.owed[id] = n
+		s.order = append(s.order, n)
+	}
+	if n == nil || p.broken {
+		return
+	}
+	switch record[0] {
+	case recOut:
+		n.sure, n.MayRun = true, true
+		n.RanAt, n.RanIn = choice.Time(p.number()), choice.ZoneNo(p.number())
+		if len(p.rest) > 0 {
+			n.ranIn = p.text()
+			n.RanIn = s.names.Zone(n.ranIn)
+		} else {
+			// Of before names were written, and so of these settings.
+			for name, no := range s.cfg.Zones {
+				if no == n.RanIn {
+					n.ranIn = name
+				}
+			}
+			s.unnamed = append(s.unnamed, n)
+		}
+	case recBack:
+		n.sure, n.MayRun = false, false
+	case recEnding:
+		if len(p.rest) > 0 {
+			what := p.rest[0]
+			p.rest = p.rest[1:]
+			n.ending = ending{what: endKind(what), retryMS: p.number()}
+		}
+	case recOver:
+		n.ending.what = endOver
+		delete(s.owed, id)
+		s.remember(id)
+	}
+}
--- /dev/null
+++ b/internal/sender/restart_test.go
@@ -0,0 +1,189 @@
+package sender
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"flaxcove/choice"
+	"flaxcove/internal/journal"
+)
+
+// A killed sender owes what it had taken on: what may be repeated goes out again, and a single-use notice with a
+// dispatch out, which may have run, is given up and never sent. Once ended, nothing comes back at a third start.
+func Example_restart() {
+	r := start("", 100).hand("OUT.ADD 00 st c=status,d=6000,dest=1 x", "OUT.ADD 00 or c=order,d=20000,dest=1 x")
+	fmt.Println("killed")
+	r = start(r.dir, 100).owed().turn(5 * time.Millisecond).answer(ok).owed()
+	r.turn(5 * time.Millisecond)
+	fmt.Println("killed")
+	start(r.dir, 100).owed().turn(time.Second)
+	os.RemoveAll(r.dir)
+	// Output:
+	// call a: POST /inbox
+	//    or
+	// call a: POST /inbox
+	//    st
+	// client: +OK
+	// client: +OK
+	// killed
+	// owed: 2 to the platform: 1
+	// platform: {"message":"or","outcome":"given_up"}
+	// call a: POST /inbox
+	//    st
+	// owed: 0 to the platform: 0
+	// killed
+	// owed: 0 to the platform: 0
+}
+
+// A refusal proves that a single-use notice has not run, so after a kill it is sent again. A wait ends with a restart.
+func Example_restartAfterRefusal() {
+	r := start("", 100).hand("OUT.ADD 00 or c=order,d=20000,dest=1 x").answer(full).turn(5 * time.Millisecond)
+	fmt.Println("killed")
+	start(r.dir, 100).owed().turn(5 * time.Millisecond)
+	os.RemoveAll(r.dir)
+	// Output:
+	// call a: POST /inbox
+	//    or
+	// client: +OK
+	// killed
+	// owed: 1 to the platform: 0
+	// call a: POST /inbox
+	//    or
+}
+
+// An ending is owed until the platform has answered, through a kill too, and so is one whose time ran out meanwhile.
+func Example_platformSilent() {
+	r := start("", 100)
+	r.up = false
+	r.hand("OUT.ADD 00 or c=order,d=20000,dest=1 x", "OUT.ADD 00 late c=status,d=6000,dest=9 x").answer("HTTP/1.1 200")
+	r.turn(7 * time.Second).owed()
+	fmt.Println("killed")
+	start(r.dir, 100).owed().turn(5 * time.Millisecond).owed()
+	os.RemoveAll(r.dir)
+	// Output:
+	// call a: POST /inbox
+	//    or
+	// client: +OK
+	// client: +OK
+	// call a: GET /-/healthy
+	// owed: 2 to the platform: 2
+	// killed
+	// owed: 2 to the platform: 2
+	// platform: {"message":"or","outcome":"given_up"}
+	// {"message":"late","outcome":"handed_back","retry_in_ms":200}
+	// owed: 0 to the platform: 0
+}
+
+// What ends while the turn's calls begin is not told to the platform before the next turn has written it down: a kill in
+// between would have it sent again, though its client was told to come back.
+func Example_endedAsItsCallBegins() {
+	r := start("", 100)
+	r.hand("OUT.ADD 00 or c=order,d=20000,dest=9 x") // nobody serves 9 yet
+	r.s.dial = func(c *call) { r.s.end(c.notices[0], ending{what: endHandedBack}) }
+	r.list(`{"version":2,"servers":[{"id":"new","addr":"127.0.0.1:3","zone":"z","kind":"one","cell":9,"state":"up"}]}`)
+	for range 2 {
+		r.clock += 5 * time.Millisecond
+		r.s.turn()
+		fmt.Println("to the platform:", len(r.s.endings), "posting:", r.s.posting)
+	}
+	(<-r.s.inbox)()
+	os.RemoveAll(r.dir)
+	// Output:
+	// client: +OK
+	// to the platform: 1 posting: false
+	// to the platform: 1 posting: true
+	// platform: {"message":"or","outcome":"handed_back"}
+}
+
+// The journal keeps within its part of the disk, refuses what does not fit, and comes back whole.
+func Example_journalFull() {
+	r := start("", 1000)
+	body := strings.Repeat("x", 20000)
+	for i := range 4 {
+		for j := range 3 {
+			r.hand(fmt.Sprintf("OUT.ADD 00 n%d-%d c=order,d=900000,dest=9 %s", i, j, body))
+		}
+		for id, n := range r.s.owed {
+			if i < 3 && id != "n0-0" {
+				r.s.over(n)
+			}
+		}
+	}
+	info, _ := os.Stat(r.dir + "/notices.log")
+	fmt.Println("under the limit:", info.Size() < 250000, "rewritten:", r.s.counts.rewritings > 0)
+	start(r.dir, 1000).owed()
+	os.RemoveAll(r.dir)
+	// Output:
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// client: +OK
+	// under the limit: true rewritten: true
+	// owed: 4 to the platform: 0
+}
+
+// An id that comes again after its end is taken on already, through a kill too: a single-use one never runs again.
+func Example_endedID() {
+	const text = "OUT.ADD 00 or c=order,d=20000,dest=1 x"
+	r := start("", 100).hand(text).answer(ok).hand(text).owed()
+	fmt.Println("killed")
+	start(r.dir, 100).hand(text).owed()
+	os.RemoveAll(r.dir)
+	for i := range 3 * mostEnded {
+		r.s.remember(choice.NoticeID(fmt.Sprint(i)))
+	}
+	_, oldest := r.s.admission.ended[choice.NoticeID(fmt.Sprint(2*mostEnded))]
+	fmt.Println(len(r.s.admission.ended) == mostEnded, oldest)
+	// Output:
+	// call a: POST /inbox
+	//    or
+	// client: +OK
+	// client: +OK
+	// owed: 0 to the platform: 0
+	// killed
+	// client: +OK
+	// owed: 0 to the platform: 0
+	// true true
+}
+
+// FuzzReplay: no record crashes a start, and what is owed after it can be written and read again.
+func FuzzReplay(f *testing.F) {
+	n := &notice{key: "0", workload: "order"}
+	n.ID, n.HardStop = "id", 9e13
+	f.Add(n.record(), outRecord("id", 5, 0, "z"))
+	f.Add(n.record(), endingRecord(&notice{Notice: n.Notice, ending: ending{what: endGivenUp}}))
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		dir := t.TempDir()
+		j, _, err := journal.Open(dir, 1<<20, func([]byte) {})
+		if err != nil || len(first) == 0 || len(second) == 0 || len(first)+len(second) > 1<<16 {
+			return
+		}
+		j.Add(first)
+		j.Add(second)
+		j.Close()
+		a := start(dir, 100)
+		if a.s == nil {
+			return // of a workload that the settings do not name
+		}
+		owed := len(a.s.owed)
+		a.s.journal.Rewrite(func(add func([]byte)) {
+			for _, n := range a.s.order {
+				n.records(add)
+			}
+		})
+		if b := start(dir, 100); len(b.s.owed) != owed {
+			t.Fatalf("%d owed, then %d", owed, len(b.s.owed))
+		}
+	})
+}
--- /dev/null
+++ b/internal/sender/rig_test.go
@@ -0,0 +1,182 @@
+package sender
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"go.uber.org/zap"
+
+	"flaxcove/choice"
+	"flaxcove/internal/config"
+	"flaxcove/internal/directory"
+	"flaxcove/internal/http1"
+)
+
+const (
+	ok   = "HTTP/1.1 200 OK\nContent-Length: 0\n\n"
+	full = "HTTP/1.1 429 Wait\nRetry-After: 0.4\nContent-Length: 0\n\n"
+	lost = "HTTP/1.1 500 Error\nContent-Length: 0\n\n"
+
+	unsent = "its last byte was not written"
+)
+
+// rig is a sender without sockets: a clock that stands, calls that go nowhere and a platform that a test speaks for.
+type rig struct {
+	s     *Sender
+	dir   string
+	clock time.Duration
+	calls []*call
+	up    bool // the platform answers
+}
+
+// boot is a settings object: status is replayable, order single-use; kind one takes bundles.
+const boot = `{"balancers":2,"quantum":5000000,"machineTypes":["one","many"],"zones":["z"],
+"bounds":{"maxAttempts":9,"maxOpen":%d,"connIdle":10000000000,"dialTimeout":1000000000,"probing":true,"retryAfter":true,"maxRetryAfter":2000000000},
+"classes":[{"name":"status","idempotency":"pure","aim":800000000,"deadline":6000000000,"worth":1},
+{"name":"order","idempotency":"side_effect","aim":4000000000,"deadline":20000000000,"worth":3}],
+"extra":{"bundleMax":[1,3],"callsOut":8},"rules":{"cold":1000000000,"coldFrom":0.5,"fallMultiple":2},"stats":{"fields":["x0","x1"]}}`
+
+const known = `{"version":1,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1","zone":"z","kind":"one","cell":1,"state":"up","weight":100},
+{"id":"b","addr":"127.0.0.1:2","zone":"z","kind":"many","cell":2,"state":"up","weight":100},
+{"id":"z","addr":"127.0.0.1:9","zone":"z","kind":"one","cell":9,"state":"draining","weight":100}]}`
+
+func configure(dir string, maxOpen int) *config.Config {
+	return configureAs(dir, fmt.Sprintf(boot, maxOpen), known)
+}
+
+// configureAs takes a settings object and a list.
+func configureAs(dir, settings, list string) *config.Config {
+	var b config.Boot
+	c := &config.Config{Name: "s", State: dir, Limits: config.Limits{MemoryMB: 192, Sockets: 256, DiskMB: 0.25},
+		Workloads: map[string]choice.WorkloadNo{}, Zones: map[string]choice.ZoneNo{}, Kinds: map[string]choice.KindNo{}}
+	for text, to := range map[string]any{settings: &b, list: &c.Known} {
+		if err := json.Unmarshal([]byte(text), to); err != nil {
+			fmt.Println(err)
+		}
+	}
+	for i, class := range b.Classes {
+		c.Workloads[class.Name] = choice.WorkloadNo(i)
+	}
+	for i, zone := range b.Zones {
+		c.Zones[zone] = choice.ZoneNo(i)
+	}
+	for i, kind := range b.MachineTypes {
+		c.Kinds[kind] = choice.KindNo(i)
+	}
+	c.Settings, _ = b.Settings(true)
+	return c
+}
+
+// start opens a sender on a folder; "" makes one. Starting again on the same folder is what a kill leaves.
+func start(dir string, maxOpen int) *rig {
+	if dir == "" {
+		dir, _ = os.MkdirTemp("", "sender")
+	}
+	return startAs(configure(dir, maxOpen))
+}
+
+func startAs(cfg *config.Config) *rig { return startAt(cfg, time.Minute) }
+
+// startAt is a start at another time.
+func startAt(cfg *config.Config, at time.Duration) *rig {
+	dir := cfg.State
+	r := &rig{dir: dir, clock: at, up: true}
+	s, err := open(cfg, zap.NewNop(), time.Unix(1e9, 0), func() time.Duration { return r.clock })
+	if err != nil {
+		fmt.Println(strings.ReplaceAll(err.Error(), dir, "DIR"))
+		return r
+	}
+	s.dial = func(c *call) { r.calls = append(r.calls, c) }
+	s.tell = func(_ string, body []byte) (int, error) {
+		if !r.up {
+			return 0, os.ErrDeadlineExceeded
+		}
+		fmt.Print("platform: ", string(body))
+		return 204, nil
+	}
+	r.s = s
+	return r
+}
+
+// hand gives commands in, each in words, and prints what is answered by the end of the turn.
+func (r *rig) hand(commands ...string) *rig {
+	c := &client{room: make(chan struct{}, window), writing: 1} // so that answers stay in out
+	for _, text := range commands {
+		c.room <- struct{}{}
+		r.s.command(c, words(text))
+	}
+	r.turn(5 * time.Millisecond)
+	for _, line := range strings.Split(strings.TrimSpace(string(c.out)), "\r\n") {
+		fmt.Printf("client: %s\n", line)
+	}
+	return r
+}
+
+func words(text string) (args [][]byte) {
+	for _, word := range strings.Split(text, " ") {
+		args = append(args, []byte(word))
+	}
+	return args
+}
+
+// client is one that has just come by a connection.
+func (r *rig) client(conn netpoll.Connection) *client {
+	c := &client{conn: conn, came: r.clock, room: make(chan struct{}, window)}
+	r.s.clients.all[c] = struct{}{}
+	return c
+}
+
+// turn lets time go on, ends a turn, and prints which calls left.
+func (r *rig) turn(after time.Duration) *rig {
+	for end := r.clock + after; r.clock < end; {
+		r.clock = max(r.clock+5*time.Millisecond, min(end, r.s.timers.due()))
+		r.s.turn()
+		for r.s.posting && r.s.endings != nil && r.up {
+			(<-r.s.inbox)()
+		}
+	}
+	for _, c := range r.calls {
+		if !c.over {
+			head, _ := r.s.request(c)
+			fmt.Printf("call %s: %s\n", c.e.id, strings.Split(string(head), " HTTP")[0])
+			for _, n := range c.notices {
+				fmt.Println("  ", n.ID)
+			}
+		}
+	}
+	return r
+}
+
+// answer ends the last call that is out with what an endpoint might say.
+func (r *rig) answer(text string) *rig {
+	c := r.calls[len(r.calls)-1]
+	r.calls = r.calls[:len(r.calls)-1]
+	var a http1.Answer
+	var err error
+	if text != unsent {
+		err = a.Feed([]byte(strings.ReplaceAll(text, "\n", "\r\n")))
+	}
+	c.over = true
+	if err != nil || !a.Done {
+		r.s.finish(c, cutOff(c, text == unsent, &partial{a.Status(), a.Began()}))
+	} else {
+		r.s.finish(c, readAnswer(&a))
+	}
+	return r
+}
+
+func (r *rig) list(text string) *rig {
+	var l directory.List
+	json.Unmarshal([]byte(text), &l)
+	r.s.listNews(l, false)
+	return r
+}
+
+func (r *rig) owed() *rig {
+	fmt.Println("owed:", len(r.s.owed), "to the platform:", len(r.s.endings))
+	return r
+}
--- a/internal/sender/route.go
+++ b/internal/sender/route.go
@@ -25,9 +25,16 @@
 	zoneName string
 	bundle   int
 	gone     bool
-	open     *call // the one that this turn's notices share
-	idle     []*link
-	links    int // idle, busy and coming up
+	// Of the list, as it is told to a cluster.
+	kind   choice.KindNo
+	rating float64
+	ready  bool
+	// When a call there last ended with an answer, what limit was last told and when; counted with a cluster alone.
+	heard, limitAt choice.Time
+	limit          float64
+	open           *call // the one that this turn's notices share
+	idle           []*link
+	links          int // idle, busy and coming up
 }
 
 type routing struct {
@@ -54,7 +61,7 @@
 	}
 	if l.Full {
 		for _, e := range s.endpoints {
-			e.gone = true
+			e.gone, e.ready = true, false
 		}
 	}
 	addrs, zones := map[choice.EndpointID]string{}, map[choice.EndpointID]string{}
@@ -68,6 +75,9 @@
 			e = &endpoint{id: entry.Endpoint}
 			s.endpoints[e.id] = e
 		}
+		if entries[i].Learnt != nil {
+			e.heard = s.learntAt
+		}
 		if addr := addrs[e.id]; addr != "" && addr != e.addr {
 			s.closeIdle(e, moved)
 			e.addr = addr
@@ -76,7 +86,9 @@
 		e.zoneName = zones[e.id]
 		e.zone, e.bundle = entry.Zone, kinds[max(0, min(int(entry.Kind), len(kinds)-1))].BundleMax
 		e.dest, e.gone = entry.Destination, entry.Stage == choice.Gone
+		e.kind, e.rating, e.ready = entry.Kind, entry.Rating, entry.Stage == choice.Ready
 	}
+	s.changed = true
 	now := s.sinceStart()
 	for _, e := range s.endpoints {
 		if e.gone {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -1,10 +1,12 @@
 // Package sender is the gateway on sockets: a chain of units around the decisions of package choice.
 //
-// A notice passes takein.go (client connections), admit.go (checks, journal, answer), route.go (the module's
-// Host), send.go (connections and calls), relay.go (answers to outcomes) and book.go (ends, notices to the
-// platform, counters). This file owns the one goroutine that holds the module, the tables and the timers, and
-// the turn in which all that has come in is acted on. Other goroutines wait on sockets and hand what they parsed
-// to post; they must never touch a table. The loop must never wait on a socket.
+// A notice passes takein.go and commands_in.go (client connections), command.go and admit.go (checks, journal,
+// answer), route.go (the module's Host), call.go and links.go (calls and connections), relay.go (answers to outcomes)
+// and book.go (ends, notices to the platform, counters). Where a sender is joined to others (joined.go), digest.go
+// tells what it saw, purge.go withdraws what it holds, and holding.go lets go of what it learnt. This file owns the
+// one goroutine that holds the module, the tables and the timers, and the turn in which all that has come in is acted
+// on. Other goroutines wait on sockets and hand what they parsed to post; they must never touch a table. The loop must
+// never wait on a socket.
 package sender
 
 import (
@@ -12,7 +14,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,12 +25,6 @@
 
 const (
 	inboxSize = 1024
-	// A planned restart leaves 3.7 s from the signal to the kill. New calls stop early, so that those out, of
-	// which a single-use one that is cut off is lost, can end before the process does.
-	lingerFor = 500 * time.Millisecond // clients still come by new connections
-	sendFor   = 2500 * time.Millisecond
-	endAfter  = 3300 * time.Millisecond
-	endAnyway = 3500 * time.Millisecond
 	retryTurn = 20 * time.Millisecond // a turn whose journal could not be written
 )
 
@@ -66,6 +61,7 @@
 	routing
 	links
 	book
+	joined
 }
 
 // Start replays the journal, tells the module what it finds, and returns once clients may come.
@@ -100,6 +96,7 @@
 	}
 	s.recall()
 	s.module = choice.Start(s, choice.SenderID(cfg.Name), cfg.Seed, cfg.Settings)
+	s.memory = s.module
 	s.listNews(cfg.Known, true)
 	for _, n := range unfinished {
 		s.module.Taken(n.told())
@@ -166,9 +163,6 @@
 	}
 }
 
-// Drain begins a planned end; Run returns when it is over.
-func (s *Sender) Drain() { s.post(s.drain) }
-
 // Run is the loop.
 func (s *Sender) Run() {
 	wake := time.NewTimer(0)
@@ -208,8 +202,6 @@
 
 func (s *Sender) sinceStart() time.Duration { return s.clock() }
 
-func (s *Sender) sinceDrain() time.Duration { return s.clock() - s.drainAt }
-
 // nextTurn is when the next turn may come.
 func (s *Sender) nextTurn() time.Duration {
 	gap := time.Duration(config.Nanoseconds(s.cfg.Settings.Turn))
@@ -227,7 +219,8 @@
 		t := heap.Pop(&s.timers).(*timer)
 		t.fire()
 	}
-	if !s.late() && !s.failing {
+	s.consult()
+	if !s.late() && !s.failing && !s.gated {
 		s.module.TurnEnd()
 	}
 	s.failing = !s.commit()
@@ -235,6 +228,7 @@
 		s.stirred = true
 	} else {
 		s.answerAdmitted()
+		s.answerOrders()
 	}
 	s.postEndings()
 	if !s.failing {
@@ -244,94 +238,6 @@
 	s.checkDrain()
 }
 
-func (s *Sender) drain() {
-	if s.draining {
-		return
-	}
-	s.draining, s.drainAt = true, s.clock()
-	s.log.Info("draining", zap.Int("owed", len(s.owed)))
-	s.closeIdleClients()
-	s.after(endAfter, func() {})
-}
-
-func (s *Sender) checkDrain() {
-	if !s.draining {
-		return
-	}
-	s.closeIdleClients()
-	since := s.sinceDrain()
-	// The process's end would cut off an answer on its way.
-	if since >= endAfter && !s.answersOut() || since >= endAnyway || since >= lingerFor && len(s.owed) == 0 && s.clients.count() == 0 {
-		s.ended = true
-	}
-}
-
-// close ends the process's part; what is owed stays in the journal.
-func (s *Sender) close() {
-	close(s.stop)
-	s.endWatches(len(s.watches))
-	s.remind()
-	if err := s.journal.Close(); err != nil {
-		s.log.Error("journal", zap.Error(err))
-	}
-	s.log.Info("ended", zap.Int("owed", len(s.owed)), zap.String("counters", strings.Join(s.Counters(), " ")))
-}
-
-// after has the loop call fire once so much time is over, unless the timer is taken back.
-func (s *Sender) after(d time.Duration, fire func()) *timer {
-	s.timerNo++
-	t := &timer{at: s.sinceStart() + d, no: s.timerNo, fire: fire}
-	heap.Push(&s.timers, t)
-	return t
-}
-
-// takeBack ends a timer that nobody waits for any more. What its function holds on to would otherwise stay until it
-// is due: a call's notices for a whole hard stop, though the call was answered in a millisecond.
-func (s *Sender) takeBack(t *timer) {
-	if t != nil && t.place >= 0 {
-		heap.Remove(&s.timers, t.place)
-	}
-}
-
-type timer struct {
-	at    time.Duration
-	no    uint64 // timers of one time fire in the order set
-	fire  func()
-	place int // in the heap; -1 once it has left
-}
-
-// timers are a heap by time. Each leaves when it fires or is taken back.
-type timers []*timer
-
-func (t timers) Len() int { return len(t) }
-func (t timers) Less(i, j int) bool {
-	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].no < t[j].no
-}
-func (t timers) Swap(i, j int) {
-	t[i], t[j] = t[j], t[i]
-	t[i].place, t[j].place = i, j
-}
-func (t *timers) Push(x any) {
-	x.(*timer).place = len(*t)
-	*t = append(*t, x.(*timer))
-}
-func (t *timers) Pop() any {
-	last := len(*t) - 1
-	x := (*t)[last]
-	(*t)[last] = nil
-	*t = (*t)[:last]
-	x.place = -1
-	return x
-}
-
-// due is when the first fires.
-func (t timers) due() time.Duration {
-	if len(t) == 0 {
-		return time.Hour
-	}
-	return t[0].at
-}
-
 // reason is why a connection ended, as the log tells it.
 type reason string
 
@@ -344,3 +250,8 @@
 	}
 	s.log.Info("connection ended", fields...)
 }
+
+// Now is the wall clock at the start and the monotonic one from there.
+func (s *Sender) Now() choice.Time {
+	return config.Down(s.start.UnixNano() + int64(s.sinceStart()))
+}
--- /dev/null
+++ b/internal/sender/together_test.go
@@ -0,0 +1,182 @@
+package sender
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"flaxcove/choice"
+	"flaxcove/internal/sender/together"
+)
+
+// crowd stands in for the processes around a sender.
+type crowd struct {
+	last together.Digest
+	shut choice.ZoneNo // a zone to which nothing may go; -1 for none
+	woke []choice.DestinationID
+}
+
+func (c *crowd) Digest(d together.Digest)    { c.last = d }
+func (c *crowd) Woke(d choice.DestinationID) { c.woke = append(c.woke, d) }
+func (c *crowd) Guide() together.Guide       { return c }
+func (c *crowd) Allowed(_ choice.NoticeID, _ choice.DestinationID, zone choice.ZoneNo) bool {
+	return zone != c.shut
+}
+
+// recall stands in for the module's memory.
+type recollection struct {
+	pinned choice.DestinationID
+	void   []string
+}
+
+func (m *recollection) Void(id choice.EndpointID, l *choice.Learnt) {
+	m.void = append(m.void, fmt.Sprint(id, " ", l))
+}
+func (m *recollection) Holds(d choice.DestinationID) (float64, bool) { return 7, d == m.pinned }
+
+// join ties the rig to a crowd.
+func (r *rig) join(j Joining) *crowd {
+	c := &crowd{shut: -1}
+	r.s.Join(c, j)
+	return c
+}
+
+// take has the loop take the orders that were given.
+func (r *rig) take() *rig {
+	(<-r.s.inbox)()
+	return r
+}
+
+// While the gate is shut notices are taken on and answered, and none leaves; it opens when it is closed, or by itself
+// once its bound is over.
+func Example_gate() {
+	for _, opens := range []bool{true, false} {
+		gate := make(chan struct{})
+		r := start("", 100)
+		r.join(Joining{Gate: gate, For: time.Second})
+		r.hand("OUT.ADD 0 id c=status,d=6000,dest=1 x").turn(900 * time.Millisecond)
+		if opens {
+			close(gate)
+			r.take()
+		}
+		fmt.Println("out:", len(r.calls))
+		r.turn(110 * time.Millisecond)
+		os.RemoveAll(r.dir)
+	}
+	// Output:
+	// client: +OK
+	// out: 0
+	// call a: POST /inbox
+	//    id
+	// client: +OK
+	// out: 0
+	// call a: POST /inbox
+	//    id
+}
+
+// A guide that stands has nothing go to a zone that is shut, at once as it changes; none allows all.
+func Example_guide() {
+	r := start("", 100)
+	c := r.join(Joining{})
+	fmt.Println(r.s.Allowed("id", "a"))
+	c.shut = r.s.endpoints["a"].zone
+	r.turn(5 * time.Millisecond)
+	fmt.Println(r.s.Allowed("id", "a"), r.s.Allowed("id", "unknown"))
+	os.RemoveAll(r.dir)
+	// Output:
+	// true
+	// false true
+}
+
+// A digest counts each call once however many notices it carries, and each notice once, when its client has +OK: not
+// what was refused, nor the same id again. What waits stands in one row of its destination.
+func Example_digest() {
+	r := start("", 4)
+	c := r.join(Joining{})
+	r.turn(500 * time.Millisecond)
+	show := func() {
+		for _, row := range c.last.Rows {
+			fmt.Printf("row %+v\n", row)
+		}
+		fmt.Println("counts", c.last.Counts, "longest", c.last.Longest)
+	}
+	show()
+	r.hand("OUT.ADD 0 s1 c=status,d=6000,dest=2 x", "OUT.ADD 0 s2 c=status,d=6000,dest=2 x",
+		"OUT.ADD 0 w c=order,d=90000,dest=9 x",
+		"OUT.ADD 0 w2 c=order,d=20000,dest=9 x", "OUT.ADD 0 over c=order,d=20000,dest=9 x")
+	r.answer("HTTP/1.1 429 Wait\nRetry-After: 9\nX-Load: x0=0,x1=25\nContent-Length: 0\n\n")
+	r.hand("OUT.ADD 0 w c=order,d=90000,dest=9 x")
+	r.turn(500 * time.Millisecond)
+	show()
+	os.RemoveAll(r.dir)
+	// Output:
+	// row {Destination:1 Kind:0 Zone:z Sent:0 Done:0 Failed:0 Silent:0 Refused:0 Endpoints:1 Limit:0 Rating:100 Held:0}
+	// row {Destination:2 Kind:1 Zone:z Sent:0 Done:0 Failed:0 Silent:0 Refused:0 Endpoints:1 Limit:0 Rating:100 Held:0}
+	// counts [] longest 20s
+	// call b: POST /inbox/bulk
+	//    s2
+	//    s1
+	// client: +OK
+	// client: +OK
+	// client: -BUSY 200
+	// client: +OK
+	// client: -BUSY 200
+	// platform: {"message":"s2","outcome":"handed_back","retry_in_ms":2000}
+	// {"message":"s1","outcome":"handed_back","retry_in_ms":2000}
+	// client: +OK
+	// row {Destination:2 Kind:1 Zone:z Sent:1 Done:0 Failed:0 Silent:0 Refused:1 Endpoints:1 Limit:25 Rating:100 Held:0}
+	// row {Destination:9 Kind:0 Zone: Sent:0 Done:0 Failed:0 Silent:0 Refused:0 Endpoints:0 Limit:0 Rating:0 Held:2}
+	// counts [{2  2} {9  2}] longest 1m30s
+}
+
+// What is let go is dropped with its idle links, unless it is pinned or anything is open; a notice for it has the region
+// asked once, and what the region knows is taken where nothing is known here, its wait shorter by its age.
+func Example_evict() {
+	r := start("", 100)
+	c, m := r.join(Joining{}), &recollection{pinned: 2}
+	r.s.memory = m
+	r.hand("OUT.ADD 0 id c=status,d=6000,dest=1 x")
+	r.clock += 50 * time.Millisecond
+	o := r.s.Orders()
+	list := func() {
+		o.Holding(func(all []together.Held) { fmt.Printf("held %+v\n", all) })
+		r.take().turn(5 * time.Millisecond)
+	}
+	evict := func() {
+		o.Evict([]choice.DestinationID{1, 2, 9}, func(kept []choice.DestinationID) {
+			fmt.Println("kept", kept, "void", m.void)
+		})
+		r.take().turn(5 * time.Millisecond)
+	}
+	evict()
+	r.calls[0].e.links-- // the rig has none
+	r.answer(ok).turn(5 * time.Millisecond)
+	o.Know([]choice.DestinationID{1}, func(all []together.Lesson) { fmt.Printf("known %+v\n", all) })
+	r.take().turn(20 * time.Millisecond)
+	list()
+	evict()
+	m.void = nil
+	r.hand("OUT.ADD 0 again c=status,d=6000,dest=9 x", "OUT.ADD 0 more c=status,d=6000,dest=9 x")
+	fmt.Println("woke", c.woke)
+	k := choice.Learnt{Mean: 10, Dev: 1, Past: 10, Seen: 3, Wait: 5 * choice.Second}
+	o.Teach([]together.Lesson{{Endpoint: "z", Learnt: k, Age: 2 * time.Second}, {Endpoint: "a", Learnt: k},
+		{Endpoint: "none", Learnt: k},
+		{Endpoint: "b", Learnt: choice.Learnt{Mean: -1}}})
+	r.take()
+	fmt.Println("taught", m.void)
+	os.RemoveAll(r.dir)
+	// Output:
+	// call a: POST /inbox
+	//    id
+	// client: +OK
+	// kept [1 2] void [z <nil>]
+	// call a: POST /inbox
+	//    id
+	// known [{Endpoint:a Learnt:{Mean:550 Dev:3450 Past:550 Seen:1 Limit:0 Wait:0} Age:5ms}]
+	// held [{Destination:1 Bytes:1024 Calls:7 Pinned:false}]
+	// kept [2] void [z <nil> a <nil> z <nil>]
+	// client: +OK
+	// client: +OK
+	// woke [9]
+	// taught [z &{10 1 10 3 0 30000}]
+}
