--- /dev/null
+++ b/internal/cluster/member/relay_test.go
@@ -0,0 +1,81 @@
+package member
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// relay passes packets and streams on to where it leads; to nowhere it drops the ones and refuses the others.
+type relay struct {
+	addr string
+	mu   sync.Mutex
+	to   string
+}
+
+func (r *relay) lead(to string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.to = to
+}
+
+func (r *relay) where() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.to
+}
+
+func newRelay(t *testing.T) *relay {
+	t.Helper()
+	var packets net.PacketConn
+	streams, err := net.Listen("tcp", "127.0.0.1:0")
+	if err == nil {
+		packets, err = net.ListenPacket("udp", streams.Addr().String())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{addr: streams.Addr().String()}
+	var work sync.WaitGroup
+	t.Cleanup(func() {
+		_, _ = streams.Close(), packets.Close()
+		work.Wait()
+	})
+	work.Go(func() {
+		buf := make([]byte, 1<<16)
+		for {
+			n, _, err := packets.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			if to, err := net.ResolveUDPAddr("udp", r.where()); err == nil && r.where() != "" {
+				_, _ = packets.WriteTo(buf[:n], to)
+			}
+		}
+	})
+	work.Go(func() {
+		for {
+			near, err := streams.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.DialTimeout("tcp", r.where(), time.Second)
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			for _, c := range []net.Conn{near, far} {
+				_ = c.SetDeadline(time.Now().Add(2 * time.Second))
+			}
+			pass := func(to, from net.Conn) {
+				_, _ = io.Copy(to, from)
+				_, _ = to.Close(), from.Close()
+			}
+			work.Go(func() { pass(near, far) })
+			work.Go(func() { pass(far, near) })
+		}
+	})
+	return r
+}
--- /dev/null
+++ b/internal/cluster/member/traffic_test.go
@@ -0,0 +1,78 @@
+package member
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"flaxcove/internal/cluster/view"
+)
+
+var measure = flag.Int("traffic", 0, "measure the gossip of so many processes, for three minutes")
+
+// TestTraffic prints what one process of many sends while nothing happens, and how soon one that dies is suspected and
+// dead. Only with -traffic N: it takes over three minutes.
+func TestTraffic(t *testing.T) {
+	if *measure == 0 {
+		t.Skip("only with -traffic N")
+	}
+	p := &place{at: map[view.Name]string{}}
+	var all []*Members
+	for i := range *measure {
+		all = append(all, p.start(t, view.Name(fmt.Sprintf("sender-%03d", i)), 1, func(o *Options) {
+			o.Timing = Timing{}
+			o.Seeds = []view.Name{"sender-000", "sender-001", "sender-002"}
+			o.Self.HTTP, o.Self.Raft, o.Self.Folder = "127.0.0.1:18080", "127.0.0.1:18090", "0123456789abcdef"
+			o.Self.Zone, o.Self.Region = view.Zone(fmt.Sprintf("zone-%d", i%4)), "region-1"
+		}))
+	}
+	here := func() bool {
+		for _, m := range all {
+			if len(m.View().Members) != len(all) {
+				return false
+			}
+		}
+		return true
+	}
+	began := time.Now()
+	eventually(t, "all are here", here)
+	t.Logf("all see all after %v", time.Since(began).Round(10*time.Millisecond))
+	time.Sleep(2 * defaultExchange) // the first exchange comes after one to two of its spans
+	sum := func() (b, n int64, cpu time.Duration) {
+		for _, m := range all {
+			mb, mn := m.Sent()
+			b, n = b+mb, n+mn
+		}
+		var u syscall.Rusage
+		_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+		return b, n, time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	}
+	b0, n0, c0 := sum()
+	const span = 60 * time.Second
+	time.Sleep(span)
+	b1, n1, c1 := sum()
+	per := span.Seconds() * float64(len(all))
+	t.Logf("%d processes, each: %.0f B/s, %.1f packets/s (%.0f B/s with UDP and IP headers), %.2f%% of a core, "+
+		"%d goroutines", len(all), float64(b1-b0)/per, float64(n1-n0)/per, float64(b1-b0+28*(n1-n0))/per,
+		100*(c1-c0).Seconds()/per,
+		runtime.NumGoroutine()/len(all))
+
+	gone := all[len(all)-1]
+	name := gone.Self().Name
+	_ = gone.Close()
+	began = time.Now()
+	for _, state := range []view.State{view.Suspected, view.Dead} {
+		eventually(t, "told", func() bool {
+			for _, m := range all[:len(all)-1] {
+				if s, _ := m.View().Find(name); s.State < state {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("state %d everywhere after %v", state, time.Since(began).Round(10*time.Millisecond))
+	}
+}
--- /dev/null
+++ b/internal/cluster/tree/tree_test.go
@@ -0,0 +1,183 @@
+package tree
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"flaxcove/internal/cluster/view"
+)
+
+func fleet(processes, zones, regions int) []view.Member {
+	var all []view.Member
+	for i := range processes {
+		z := i % zones
+		m := view.Member{Life: view.Life{Name: view.Name(fmt.Sprintf("p%04d", i)), Incarnation: 1}, Size: view.Large,
+			Zone: view.Zone(fmt.Sprintf("z%02d", z)), Region: view.Region(fmt.Sprintf("r%d", z%regions))}
+		if i/zones%3 == 1 {
+			m.Size = view.Small
+		}
+		all = append(all, m)
+	}
+	return all
+}
+
+// sound checks what holds of every tree: one root, everybody under it within the depth, both directions agree, and
+// no role with more than Fan.
+func sound(t interface{ Fatalf(string, ...any) }, tr *Tree, members []view.Member, depth int) {
+	here := 0
+	for _, m := range members {
+		if !m.Here() {
+			if _, has := tr.Parent(m.Name); has {
+				t.Fatalf("%s is not here and has a parent", m.Name)
+			}
+			continue
+		}
+		here++
+		p, steps := m.Name, 0
+		for p != tr.Root() {
+			up, has := tr.Parent(p)
+			if !has || steps > depth {
+				t.Fatalf("%s does not reach the root %s: stuck at %s after %d steps", m.Name, tr.Root(), p, steps)
+			}
+			p, steps = up, steps+1
+		}
+	}
+	links := 0
+	for _, m := range members {
+		children := tr.Children(m.Name)
+		links += len(children)
+		if len(children) > 3*Fan {
+			t.Fatalf("%s has %d children", m.Name, len(children))
+		}
+		for _, c := range children {
+			if up, _ := tr.Parent(c); up != m.Name {
+				t.Fatalf("%s is a child of %s and reports to %s", c, m.Name, up)
+			}
+		}
+	}
+	if here > 0 && links != here-1 {
+		t.Fatalf("%d are here and %d report to somebody", here, links)
+	}
+}
+
+func TestEveryTreeIsSoundWhateverTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) view.Member {
+			z := rapid.IntRange(0, 5).Draw(t, "zone")
+			return view.Member{
+				Life:   view.Life{Name: view.Name(fmt.Sprintf("p%d", rapid.IntRange(0, 400).Draw(t, "name")))},
+				Zone:   view.Zone(fmt.Sprintf("z%d", z)),
+				Region: view.Region(fmt.Sprintf("r%d", z%3+rapid.IntRange(0, 20).Draw(t, "slip")/20)),
+				Size:   rapid.SampledFrom([]view.Size{view.Large, view.Small}).Draw(t, "size"),
+				State:  rapid.SampledFrom([]view.State{view.Alive, view.Suspected, view.Left, view.Dead}).Draw(t, "state"),
+			}
+		}), 0, 120, func(m view.Member) view.Name { return m.Name }).Draw(t, "members")
+		tr := Derive(view.Make("p0", 1, members))
+		sound(t, tr, members, 5)
+		shuffled := rapid.Permutation(members).Draw(t, "order")
+		other := Derive(&view.View{Self: "p1", No: 9, Members: shuffled})
+		if d := cmp.Diff(tr, other, cmp.AllowUnexported(Tree{})); d != "" {
+			t.Fatalf("another order, another tree: %s", d)
+		}
+		for _, m := range members {
+			isHead := tr.ZoneHead(m.Zone) == m.Name
+			if !m.Here() || !isHead || m.Size == view.Large {
+				continue
+			}
+			for _, o := range members {
+				if o.Here() && o.Zone == m.Zone && o.Size == view.Large {
+					t.Fatalf("small %s heads %s, where large %s is", m.Name, m.Zone, o.Name)
+				}
+			}
+		}
+	})
+}
+
+func TestHeadsAreOfTheirNodes(t *testing.T) {
+	tr := Derive(view.Make("", 1, fleet(300, 12, 4)))
+	for _, r := range tr.Regions() {
+		among := false
+		for _, z := range tr.Zones(r) {
+			among = among || tr.ZoneHead(z) == tr.RegionHead(r)
+			if up, _ := tr.Parent(tr.ZoneHead(z)); tr.ZoneHead(z) != tr.RegionHead(r) && up != tr.RegionHead(r) {
+				t.Errorf("head of %s reports to %s, not to %s's head", z, up, r)
+			}
+			if tr.Region(z) != r {
+				t.Errorf("%s lies in %s", z, tr.Region(z))
+			}
+		}
+		if up, _ := tr.Parent(tr.RegionHead(r)); !among || (tr.RegionHead(r) != tr.Root() && up != tr.Root()) {
+			t.Errorf("%s: its head %s is no zone's head or reports to %s", r, tr.RegionHead(r), up)
+		}
+	}
+}
+
+// TestOneGoesAndFewMove: of 300 without groups nobody but those who reported to the one that goes has another parent.
+func TestOneGoesAndFewMove(t *testing.T) {
+	all := fleet(300, 12, 4)
+	before := Derive(view.Make("", 1, all))
+	for i, gone := range all {
+		rest := append(append([]view.Member{}, all[:i]...), all[i+1:]...)
+		after := Derive(view.Make("", 2, rest))
+		for _, m := range rest {
+			was, _ := before.Parent(m.Name)
+			is, _ := after.Parent(m.Name)
+			if was != is && was != gone.Name && !(was == "" && gone.Name == before.Root()) {
+				t.Errorf("%s goes: %s reported to %s, now to %s", gone.Name, m.Name, was, is)
+			}
+		}
+	}
+}
+
+func TestAtSizeNobodyHasTooMany(t *testing.T) {
+	for _, c := range []struct{ processes, zones, regions, most, depth int }{
+		{1000, 12, 4, Fan, 4}, {1000, 1, 1, Fan, 3}, {1000, 200, 2, 2 * Fan, 6}, {3000, 3, 3, 2 * Fan, 6}, {1, 1, 1, 0, 0},
+	} {
+		all := fleet(c.processes, c.zones, c.regions)
+		rand.New(rand.NewPCG(1, 2)).Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		tr := Derive(view.Make("", 1, all))
+		sound(t, tr, all, c.depth)
+		for _, m := range all {
+			if n := len(tr.Children(m.Name)); n > c.most {
+				t.Errorf("%+v: %s has %d children", c, m.Name, n)
+			}
+		}
+		// In groups too, one that coordinates nothing moves nobody, or one group that now fits without a level.
+		for i, gone := range all {
+			if i > 20 || len(tr.Children(gone.Name)) > 0 || c.processes == 1 {
+				continue
+			}
+			moved := 0
+			after := Derive(view.Make("", 2, append(append([]view.Member{}, all[:i]...), all[i+1:]...)))
+			for _, m := range all {
+				was, _ := tr.Parent(m.Name)
+				if is, _ := after.Parent(m.Name); m.Name != gone.Name && is != was {
+					moved++
+				}
+			}
+			if moved > Fan {
+				t.Errorf("%+v: %s goes and %d others move", c, gone.Name, moved)
+			}
+		}
+	}
+}
+
+func TestNobodyHere(t *testing.T) {
+	dead := view.Make("a", 1, []view.Member{{Life: view.Life{Name: "a"}, State: view.Dead}})
+	for _, v := range []*view.View{nil, {}, dead} {
+		if tr := Derive(v); tr.Root() != "" || len(tr.Regions()) != 0 {
+			t.Errorf("%v: root %q", v, tr.Root())
+		}
+	}
+}
+
+func BenchmarkDeriveOfAThousand(b *testing.B) {
+	v := view.Make("", 1, fleet(1000, 12, 4))
+	for b.Loop() {
+		Derive(v)
+	}
+}
