--- /dev/null
+++ b/internal/cluster/evidence/digest/digest_test.go
@@ -0,0 +1,78 @@
+package digest
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"flaxcove/choice"
+	"flaxcove/internal/cluster/sight"
+	"flaxcove/internal/sender/together"
+)
+
+func rows(rows ...together.Row) together.Digest { return together.Digest{Rows: rows} }
+
+// Counts are summed over the span and leave after it; what is told and not counted is the last.
+func ExampleWindow() {
+	w := Make("anna", "east", time.Second, 2, 0)
+	show := func(now time.Duration, d together.Digest) {
+		fmt.Print(now, ":")
+		for _, s := range w.Take(now, d) {
+			fmt.Printf(" %d/%s over %v: sent %v, failed %v, held %d;", s.Destination, s.Zone, s.Span, s.Sent, s.Failed, s.Held)
+		}
+		fmt.Println()
+	}
+	at := func(tenths int) time.Duration { return time.Duration(tenths) * 100 * time.Millisecond }
+	show(at(5), rows(together.Row{Destination: 1, Zone: "e", Sent: 10, Failed: 4, Held: 7}))
+	show(at(10), rows(together.Row{Destination: 1, Zone: "e", Sent: 10, Held: 3},
+		together.Row{Destination: 1, Zone: "b", Sent: 1}))
+	show(at(15), rows(together.Row{Destination: 2, Zone: "e", Sent: 1}))
+	show(at(45), rows()) // it stood still
+	show(at(50), rows(together.Row{Destination: 2, Zone: "e", Sent: 2}))
+	fmt.Println("left out:", w.Left())
+	// Output:
+	// 500ms: 1/e over 500ms: sent 10, failed 4, held 7;
+	// 1s: 1/b over 1s: sent 1, failed 0, held 0; 1/e over 1s: sent 20, failed 4, held 3;
+	// 1.5s: 1/b over 1s: sent 1, failed 0, held 0; 1/e over 1s: sent 10, failed 0, held 3;
+	// 4.5s:
+	// 5s: 2/e over 500ms: sent 2, failed 0, held 0;
+	// left out: 1
+}
+
+// However close digests come, no call is lost or told twice, and memory is bounded.
+func TestNothingLostOrDoubled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const span = time.Second
+		w := Make("a", "z", span, 10, 0)
+		now, began := time.Duration(0), time.Duration(0)
+		type counted struct {
+			from, to time.Duration
+			sent     uint64
+		}
+		var all []counted
+		for range rapid.IntRange(1, 80).Draw(t, "digests") {
+			now += time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond
+			n := uint64(rapid.IntRange(0, 9).Draw(t, "sent"))
+			all = append(all, counted{began, now, n})
+			began = now
+			half := together.Row{Destination: 1, Zone: "e", Sent: n / 2, Done: n / 2}
+			rest := together.Row{Destination: 1, Zone: "e", Sent: n - n/2, Done: n - n/2}
+			got := w.Take(now, rows(half, rest))
+			var want float64
+			for _, c := range all {
+				if c.from >= now-got[0].Span {
+					want += float64(c.sent)
+				}
+			}
+			place := sight.Place{Destination: choice.DestinationID(1), Zone: "e"}
+			if len(got) != 1 || got[0].Sent != want || got[0].Done != want || got[0].Place != place {
+				t.Fatal(got, want)
+			}
+			if got[0].Span > span && len(w.parts) > 1 || len(w.parts) > 2*most+2 {
+				t.Fatal("over", got[0].Span, len(w.parts))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/cluster/link/link_test.go
@@ -0,0 +1,269 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"flaxcove/internal/cluster/view"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// long is far over what any step here takes, and under what would hide a wait without a bound.
+const long = 5 * time.Second
+
+type addresses map[view.Name]string
+
+func (a addresses) reach(name view.Name) (string, bool) { addr, known := a[name]; return addr, known }
+
+func start(t *testing.T, all addresses, cluster string, name view.Name, no view.Incarnation, listen string) *Link {
+	t.Helper()
+	l, err := Start(Options{Cluster: cluster, Self: view.Life{Name: name, Incarnation: no},
+		Listen: listen, Reach: all.reach, BodyLimit: 4096})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { end(t, l) })
+	return l
+}
+
+func end(t *testing.T, l *Link) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), long)
+	defer cancel()
+	if err := l.Close(ctx); err != nil {
+		t.Error(err)
+	}
+}
+
+func status(err error) int {
+	var refused *Refused
+	if errors.As(err, &refused) {
+		return refused.Status
+	}
+	return 0
+}
+
+func echo(_ context.Context, from view.Life, body []byte) (any, error) {
+	return map[string]any{"from": from, "body": string(body)}, nil
+}
+
+func TestWhoMayCall(t *testing.T) {
+	all := addresses{}
+	b := start(t, all, "ours", "b", 1, "127.0.0.1:0")
+	b.Handle("/echo", echo)
+	b.Handle("/no", func(context.Context, view.Life, []byte) (any, error) {
+		return nil, &Refused{Status: 410, Text: "gone"}
+	})
+	b.Handle("/bad", func(context.Context, view.Life, []byte) (any, error) { return nil, errors.New("broken") })
+	b.Public().HandleFunc("GET /v1/x", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("public")) })
+	all["b"], all["c"] = b.Addr(), b.Addr()
+	a := start(t, all, "ours", "a", 5, "127.0.0.1:0")
+	ctx := context.Background()
+	var got struct {
+		From view.Life
+		Body string
+	}
+	if err := a.Call(ctx, "b", "/echo", 7, &got); err != nil || got.From != a.o.Self || got.Body != "7" {
+		t.Fatal(got, err)
+	}
+	in, out := a.Traffic()
+	bIn, bOut := b.Traffic()
+	if out == 0 || in == 0 || out > 160 || in > 160 || out != bIn || in != bOut {
+		t.Fatal("a small call's bytes", in, out, bIn, bOut)
+	}
+	old, other := start(t, all, "ours", "a", 3, "127.0.0.1:0"), start(t, all, "theirs", "d", 1, "127.0.0.1:0")
+	twin := start(t, all, "ours", "b", 0, "127.0.0.1:0")
+	for _, c := range []struct {
+		who  *Link
+		to   view.Name
+		path string
+		want int
+	}{{other, "b", "/echo", 403}, {old, "b", "/echo", 409}, {twin, "b", "/echo", 409}, {a, "c", "/echo", 421},
+		{a, "b", "/none", 404},
+		{a, "b", "/no", 410}, {a, "b", "/bad", 500}} {
+		if err := c.who.Call(ctx, c.to, c.path, nil, nil); status(err) != c.want {
+			t.Errorf("%s to %s%s: %v, not %d", c.who.o.Self.Name, c.to, c.path, err, c.want)
+		}
+	}
+	var refused *Refused
+	if err := old.Call(ctx, "b", "/echo", nil, nil); !errors.As(err, &refused) || refused.Seen != 5 {
+		t.Fatal(err)
+	}
+	old.Rise(refused.Seen + 1)
+	if err := old.Call(ctx, "b", "/echo", nil, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Call(ctx, "b", "/echo", nil, nil); status(err) != 409 {
+		t.Fatal("the older life was heard", err)
+	}
+	if err := a.Call(ctx, "nobody", "/echo", nil, nil); err == nil || status(err) != 0 {
+		t.Fatal(err)
+	}
+	for path, want := range map[string]int{"/v1/x": 200, "/v1/y": 404, "/echo": 403} {
+		r, err := http.Get("http://" + b.Addr() + path)
+		if err != nil || r.StatusCode != want {
+			t.Error(path, err, r)
+		}
+		r.Body.Close()
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
+
+func TestTooLarge(t *testing.T) {
+	all := addresses{}
+	b := start(t, all, "ours", "b", 1, "127.0.0.1:0")
+	var calls atomic.Int32
+	b.Handle("/take", func(context.Context, view.Life, []byte) (any, error) { calls.Add(1); return nil, nil })
+	b.Handle("/give", func(context.Context, view.Life, []byte) (any, error) { return strings.Repeat("x", 5000), nil })
+	all["b"] = b.Addr()
+	a := start(t, all, "ours", "a", 1, "127.0.0.1:0")
+	ctx := context.Background()
+	if err := a.Call(ctx, "b", "/take", strings.Repeat("x", 5000), nil); err == nil || status(err) != 0 {
+		t.Fatal("went out", err)
+	}
+	a.o.BodyLimit = 1 << 20
+	if err := a.Call(ctx, "b", "/take", strings.Repeat("x", 5000), nil); status(err) != 413 || calls.Load() != 0 {
+		t.Fatal(err, calls.Load())
+	}
+	if err := a.Call(ctx, "b", "/give", nil, nil); status(err) != 500 {
+		t.Fatal(err)
+	}
+	if err := a.Call(ctx, "b", "/take", strings.Repeat("x", 3000), nil); err != nil || calls.Load() != 1 {
+		t.Fatal(err, calls.Load())
+	}
+}
+
+// A peer that takes connections and says nothing costs a call its bound, and other calls nothing.
+func TestStalled(t *testing.T) {
+	mute, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer mute.Close()
+	all := addresses{"mute": mute.Addr().String()}
+	a := start(t, all, "ours", "a", 1, "127.0.0.1:0")
+	a.Handle("/echo", echo)
+	all["a"] = a.Addr()
+	a.o.CallFor = 50 * time.Millisecond
+	begun := time.Now()
+	if err := a.Call(context.Background(), "mute", "/x", nil, nil); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), long)
+	defer cancel()
+	ended := make(chan error, callsPerPeer+1)
+	for range callsPerPeer + 1 { // the last waits for a connection of its own
+		go func() { ended <- a.Call(ctx, "mute", "/x", nil, nil) }()
+	}
+	if err := a.Call(ctx, "a", "/echo", nil, nil); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	for range callsPerPeer + 1 {
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(begun); took > long {
+		t.Fatal("took", took)
+	}
+}
+
+// A peer that ends and comes back is reached again over the same link, and its listener's address is free at once.
+func TestPeerRestarts(t *testing.T) {
+	all := addresses{}
+	b := start(t, all, "ours", "b", 1, "127.0.0.1:0")
+	b.Handle("/echo", echo)
+	addr := b.Addr()
+	all["b"] = addr
+	a := start(t, all, "ours", "a", 1, "127.0.0.1:0")
+	for no := range 4 {
+		failures := 0
+		for err := error(nil); ; failures++ {
+			if err = a.Call(context.Background(), "b", "/echo", nil, nil); err == nil {
+				break
+			}
+			if failures > 1 {
+				t.Fatal("more than the call that met the old connection failed", err)
+			}
+		}
+		end(t, b)
+		if err := a.Call(context.Background(), "b", "/echo", nil, nil); err == nil {
+			t.Fatal("nobody answered")
+		}
+		b = start(t, all, "ours", "b", view.Incarnation(no+2), addr)
+		b.Handle("/echo", echo)
+	}
+}
+
+func TestCloseWithCallsOut(t *testing.T) {
+	all := addresses{}
+	a, b := start(t, all, "ours", "a", 1, "127.0.0.1:0"), start(t, all, "ours", "b", 1, "127.0.0.1:0")
+	all["a"], all["b"] = a.Addr(), b.Addr()
+	inside, deaf := make(chan struct{}, 8), make(chan struct{})
+	wait := func(ctx context.Context, _ view.Life, _ []byte) (any, error) {
+		inside <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	a.Handle("/wait", wait)
+	b.Handle("/wait", wait)
+	b.Handle("/deaf", func(context.Context, view.Life, []byte) (any, error) {
+		inside <- struct{}{}
+		<-deaf
+		return nil, nil
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), long)
+	defer cancel()
+	entered := func() {
+		select {
+		case <-inside:
+		case <-ctx.Done():
+			t.Fatal("a call did not arrive")
+		}
+	}
+	ended := make(chan error, 2)
+	go func() { ended <- a.Call(ctx, "b", "/wait", nil, nil) }()
+	entered()
+	go func() { b.Call(ctx, "a", "/wait", nil, nil); ended <- a.Call(ctx, "b", "/x", nil, nil) }()
+	entered()
+	end(t, a)
+	end(t, a)
+	for range 2 {
+		if err := <-ended; !errors.Is(err, ErrClosed) {
+			t.Fatal(err)
+		}
+	}
+	c := start(t, all, "ours", "c", 1, "127.0.0.1:0")
+	go func() { ended <- c.Call(ctx, "b", "/deaf", nil, nil) }()
+	entered()
+	short, done := context.WithTimeout(ctx, 20*time.Millisecond)
+	defer done()
+	if err := b.Close(short); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatal("did not tell of a handler that heeds nothing", err)
+	}
+	if err := <-ended; err == nil {
+		t.Fatal("a call of a closed link was answered")
+	}
+	close(deaf)
+}
+
+func TestLivesAreBounded(t *testing.T) {
+	s := &lives{most: 3, seen: map[view.Name]*heard{}}
+	for _, name := range []view.Name{"a", "b", "c", "a", "d"} {
+		s.take(view.Life{Name: name, Incarnation: 9})
+	}
+	if len(s.seen) != 3 || s.take(view.Life{Name: "a", Incarnation: 1}) != 9 ||
+		s.take(view.Life{Name: "b", Incarnation: 1}) != 1 {
+		t.Fatal(s.seen)
+	}
+}
--- /dev/null
+++ b/internal/cluster/settings/folder/folder_test.go
@@ -0,0 +1,87 @@
+package folder
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func open(t *testing.T, path string) *Folder {
+	t.Helper()
+	f, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { f.Close() })
+	return f
+}
+
+func TestLives(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "deep", "anna")
+	first := open(t, path)
+	if !first.Empty || first.Incarnation == 0 {
+		t.Fatal(first)
+	}
+	if _, err := Open(path); err == nil || !strings.Contains(err.Error(), lockFile) {
+		t.Fatal("two have one folder", err)
+	}
+	first.Close()
+	second := open(t, path)
+	if second.Empty || second.ID != first.ID || second.Incarnation != first.Incarnation+1 {
+		t.Fatal(second, first)
+	}
+	if err := second.Raise(second.Incarnation + 40); err != nil || second.Incarnation != first.Incarnation+42 {
+		t.Fatal(second, err)
+	}
+	if err := second.Raise(3); err != nil || second.Incarnation != first.Incarnation+42 {
+		t.Fatal("went back", second, err)
+	}
+	second.Close()
+	if third := open(t, path); third.Incarnation != first.Incarnation+43 {
+		t.Fatal("what was raised did not last", third)
+	}
+	if other := open(t, filepath.Join(t.TempDir(), "anna")); !other.Empty || other.ID == first.ID {
+		t.Fatal("another folder of the same id", other)
+	}
+}
+
+// What is torn at any byte, damaged, or not ours is an error that names it, and is left as it is.
+func TestTornOrForeign(t *testing.T) {
+	path := t.TempDir()
+	open(t, path).Close()
+	file := filepath.Join(path, lifeFile)
+	whole, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := []string{strings.Repeat("\x00", len(whole)), string(whole) + "{}", `{"folder":"x","incarnation":1}`,
+		strings.Replace(string(whole), `"incarnation":`, `"incarnation":-`, 1),
+		strings.Repeat(" ", mostBytes) + string(whole)}
+	for n := range len(whole) - 1 {
+		bad = append(bad, string(whole[:n]))
+	}
+	for _, text := range bad {
+		if err := os.WriteFile(file, []byte(text), 0o640); err != nil {
+			t.Fatal(err)
+		}
+		if f, err := Open(path); err == nil || !strings.Contains(err.Error(), file) {
+			t.Fatalf("%q: %v %v", text, f, err)
+		}
+		if left, _ := os.ReadFile(file); string(left) != text {
+			t.Fatal("was made up for")
+		}
+	}
+	os.Remove(file)
+	// A life that ended before its first write lasted leaves no more than this.
+	os.WriteFile(filepath.Join(path, tempFile), whole[:9], 0o640)
+	if f := open(t, path); !f.Empty {
+		t.Fatal(f)
+	} else {
+		f.Close()
+	}
+	os.Rename(file, filepath.Join(path, "raft.db"))
+	if _, err := Open(path); err == nil || !strings.Contains(err.Error(), file) {
+		t.Fatal("took another's folder", err)
+	}
+}
--- /dev/null
+++ b/internal/cluster/settings/settings_test.go
@@ -0,0 +1,161 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"flaxcove/internal/cluster/view"
+)
+
+// All that is wrong is told at once: what is not known, of a wrong type, out of range and at odds with the rest.
+func ExampleParse() {
+	_, err := Parse("bad.toml", []byte(`name = "two words"
+founders = ["a", "nobody", "a"]
+colour = "red"
+
+[here]
+process = "a"
+zone = "east"
+size = "medium"
+gossip = "10.0.0.1:7101"
+council = "127.0.0.1"
+http = ":7103"
+beyond_loopback = "no"
+
+[zones]
+east = "coast"
+south = 3
+
+[[member]]
+name = "b"
+zone = "west"
+gossip = "127.0.0.1:7103"
+council = "127.0.0.1:0"
+http = ":7203"
+
+[[member]]
+name = "b"
+zone = "east"
+gossip = "h:1"
+council = "h:2"
+http = "h:2"
+
+[[member]]
+name = "a"
+zone = "south"
+
+[bounds]
+destinations = 3
+purges = 1.5
+`))
+	fmt.Println(err)
+	// Output:
+	// bad.toml:1: field name: "two words" is no name: letters, digits, '.', '_' and '-', the first a letter or digit, 63 at most
+	// bad.toml:2: field founders: "nobody" is neither a member nor this process
+	// bad.toml:2: field founders: "a" stands twice
+	// bad.toml:3: field colour: there is no such field
+	// bad.toml:5: field here.folder: missing
+	// bad.toml:8: field here.size: "medium" is neither large nor small
+	// bad.toml:9: field here.gossip: "10.0.0.1:7101" is not on loopback, and here.beyond_loopback is not set
+	// bad.toml:10: field here.council: "127.0.0.1" is not host:port
+	// bad.toml:12: field here.beyond_loopback: takes true or false, not no
+	// bad.toml:16: field zones.south: takes a text in quotes, not 3
+	// bad.toml:20: field member[0].zone: "west" has no region under zones
+	// bad.toml:21: field member[0].gossip: 127.0.0.1:7103 is taken by here.http
+	// bad.toml:22: field member[0].council: "127.0.0.1:0": the port is not within 1 and 65535
+	// bad.toml:23: field member[0].http: ":7203" has no host
+	// bad.toml:26: field member[1].name: "b" is taken by member[0]
+	// bad.toml:30: field member[1].http: h:2 is taken by member[1].council
+	// bad.toml:34: field member[2].zone: "south" is this process, and here.zone is "east"
+	// bad.toml:37: field bounds.destinations: 3 is not within 16 and 1000000
+	// bad.toml:38: field bounds.purges: takes a whole number, not 1.5
+}
+
+// The example under deploy is what it says: defaults stand in it, nothing of it is advised against.
+func TestTheExample(t *testing.T) {
+	path := filepath.Join("..", "..", "..", "deploy", "cluster.toml")
+	got, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	folder, _ := filepath.Abs("state/cluster/anna")
+	want := &Settings{Cluster: "example",
+		Here: Here{"anna", "east", "coast", view.Large, folder,
+			Addresses{"127.0.0.1:7101", "127.0.0.1:7102", "127.0.0.1:7103"}},
+		Members: []Member{{"bert", "west", "coast", Addresses{"127.0.0.1:7201", "127.0.0.1:7202", "127.0.0.1:7203"}},
+			{"cara", "north", "hills", Addresses{"127.0.0.1:7301", "127.0.0.1:7302", "127.0.0.1:7303"}}},
+		Zones:    map[view.Zone]view.Region{"east": "coast", "west": "coast", "north": "hills"},
+		Founders: []view.Name{"anna", "bert", "cara"}, Uses: Uses{Failover: true, Purges: true},
+		Bounds: Bounds{defaultDestinations, defaultSmall, defaultBytes, defaultPurges}}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Fatal(d)
+	}
+	text, _ := os.ReadFile(path)
+	i := strings.Index(string(text), "[bounds]")
+	if short, err := Parse("short", text[:i]); err != nil || short.Bounds != want.Bounds {
+		t.Fatal("the defaults in the example are not those of the code", short, err)
+	}
+}
+
+const small = `name = "c"
+founders = [%s]
+[here]
+process = "a"
+zone = "z"
+folder = "f"
+gossip = ":1"
+council = "localhost:2"
+http = "%s"
+beyond_loopback = %v
+[zones]
+z = "r"
+[[member]]
+name = "a"
+zone = "z"
+council = "127.0.0.1:9"
+[[member]]
+name = "b"
+zone = "z"
+gossip = "h:1"
+council = "h:2"
+http = "h:3"
+`
+
+func TestSelfAmongMembersAndAdvice(t *testing.T) {
+	s, err := Parse("f", fmt.Appendf(nil, small, `"a", "b"`, "[::1]:3", false))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, known := s.Reach("a"); !known || got != (Addresses{"127.0.0.1:1", "127.0.0.1:9", "[::1]:3"}) {
+		t.Fatal(got, known)
+	}
+	if _, known := s.Reach("x"); known {
+		t.Fatal("reaches whom the file does not name")
+	}
+	if len(s.Advice) != 2 {
+		t.Fatal(s.Advice)
+	}
+	for listen, ok := range map[string]bool{"10.0.0.1:3": true, "0.0.0.0:3": false, "host:3": false} {
+		if _, err := Parse("f", fmt.Appendf(nil, small, `"a"`, listen, true)); (err == nil) != ok {
+			t.Error(listen, err)
+		}
+	}
+	if _, err := Parse("f", []byte("[[here]]\nx = 1\n")); err == nil || !strings.Contains(err.Error(), "f:1") {
+		t.Fatal(err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(fmt.Appendf(nil, small, `"a"`, ":3", true))
+	f.Add([]byte("founders = [1, {a = 2}]\n[zones]\n\"\" = []\n[[member]]\nname = 1\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if s, err := Parse("f", text); (s == nil) == (err == nil) {
+			t.Fatal("neither or both", s, err)
+		}
+	})
+}
