--- /dev/null
+++ b/internal/cluster/council/machine/machine_test.go
@@ -0,0 +1,131 @@
+package machine
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// sum adds numbers up; it refuses those below zero, and panics at 13.
+type sum struct {
+	Total int           `json:"total"`
+	Last  time.Duration `json:"last"`
+}
+
+func (s *sum) Apply(_ uint64, at time.Duration, kind string, body json.RawMessage) (json.RawMessage, error) {
+	n, err := strconv.Atoi(string(body))
+	switch {
+	case err != nil || kind != "add" || n < 0:
+		return nil, errors.New("no number")
+	case n == 13:
+		panic(n)
+	}
+	s.Total, s.Last = s.Total+n, at
+	return json.Marshal(s.Total)
+}
+
+func (s *sum) Snapshot() (json.RawMessage, error) { return json.Marshal(s) }
+
+func (s *sum) Restore(state json.RawMessage) error {
+	var next sum
+	if err := json.Unmarshal(state, &next); err != nil || next.Total < 0 {
+		return fmt.Errorf("state %s", state)
+	}
+	*s = next
+	return nil
+}
+
+func two() *Machine { return New(map[string]Part{"b": &sum{}, "a": &sum{}}) }
+
+func snapshotOf(t rapid.TB, m *Machine) string {
+	t.Helper()
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// The same commands, good and bad, leave two machines alike, of which one is restored from its snapshot on the way;
+// the clock never goes back, and what is refused changes no part.
+func TestAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		one, other := two(), two()
+		total := map[string]int{}
+		for i := range rapid.IntRange(1, 30).Draw(t, "commands") {
+			part := rapid.SampledFrom([]string{"a", "b", "none"}).Draw(t, "part")
+			n := rapid.IntRange(-2, 13).Draw(t, "n")
+			at := time.Duration(rapid.IntRange(0, 100).Draw(t, "at"))
+			data, err := Encode(Command{part, "add", at, json.RawMessage(strconv.Itoa(n))})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if rapid.IntRange(0, 9).Draw(t, "spoilt") == 0 {
+				data, n = data[:len(data)/2], -1
+			}
+			before := one.At()
+			first, refused := one.Apply(uint64(i+1), data)
+			second, refusedToo := other.Apply(uint64(i+1), data)
+			if one.At() < before {
+				t.Fatalf("the clock went from %v to %v", before, one.At())
+			}
+			if diff := cmp.Diff(fmt.Sprint(string(first), refused), fmt.Sprint(string(second), refusedToo)); diff != "" {
+				t.Fatal(diff)
+			}
+			var typed *Refused
+			if bad := n < 0 || n == 13 || part == "none"; bad != errors.As(refused, &typed) {
+				t.Fatalf("%s add %d: %v", part, n, refused)
+			} else if !bad {
+				total[part] += n
+			}
+			if rapid.IntRange(0, 4).Draw(t, "restored") == 0 {
+				fresh := two()
+				if err := fresh.Restore([]byte(snapshotOf(t, other))); err != nil {
+					t.Fatal(err)
+				}
+				other = fresh
+			}
+			if diff := cmp.Diff(snapshotOf(t, one), snapshotOf(t, other)); diff != "" {
+				t.Fatal(diff)
+			}
+		}
+		for name, want := range total {
+			if got := one.parts[name].(*sum).Total; got != want {
+				t.Fatalf("%s holds %d of %d", name, got, want)
+			}
+		}
+	})
+}
+
+// A snapshot is taken whole or not at all.
+func TestRestoreWhole(t *testing.T) {
+	m := two()
+	if _, err := m.Apply(4, []byte(`{"part":"a","kind":"add","at":7,"body":5}`)); err != nil {
+		t.Fatal(err)
+	}
+	before := snapshotOf(t, m)
+	for name, bad := range map[string]string{
+		"cut":          before[:9],
+		"another part": `{"parts":[{"name":"a","state":null},{"name":"c","state":null}]}`,
+		"second bad":   `{"at":9,"index":9,"parts":[{"name":"a","state":{"total":1}},{"name":"b","state":{"total":-1}}]}`,
+	} {
+		if err := m.Restore([]byte(bad)); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+		if diff := cmp.Diff(before, snapshotOf(t, m)); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+	if err := m.Restore([]byte(`{"at":9,"index":9}`)); err != nil || m.At() != 9 || m.parts["a"].(*sum).Total != 0 {
+		t.Errorf("a part that a snapshot lacks begins anew: %v, %v", m.parts["a"], err)
+	}
+	if _, err := Encode(Command{Body: make([]byte, MaxBody+1)}); !errors.Is(err, ErrLong) {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/cluster/council/voters/voters_test.go
@@ -0,0 +1,249 @@
+package voters
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"flaxcove/internal/cluster/view"
+)
+
+var rule = Rule{Most: 5, DeadFor: time.Minute, Silent: time.Second}
+
+// world is a fleet in which processes die, return and lose their disks, and a council that does what Next says.
+type world struct {
+	members map[view.Name]*view.Member
+	silence map[ID]time.Duration
+	servers []Server
+	leader  ID
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{members: map[view.Name]*view.Member{}, silence: map[ID]time.Duration{}}
+	zones := rapid.IntRange(1, 6).Draw(t, "zones")
+	for i := range rapid.IntRange(1, 12).Draw(t, "processes") {
+		zone := rapid.IntRange(0, zones-1).Draw(t, "zone")
+		name := view.Name(fmt.Sprintf("p%02d", i))
+		w.members[name] = &view.Member{Life: view.Life{Name: name}, Folder: "1", Raft: "here",
+			Zone: view.Zone(fmt.Sprint("z", zone)), Region: view.Region(fmt.Sprint("r", zone/2)),
+			Size: rapid.SampledFrom([]view.Size{view.Large, view.Small}).Draw(t, "size")}
+	}
+	for _, name := range w.names()[:min(len(w.members), rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "founders"))] {
+		w.servers = append(w.servers, Server{ID: ID{name, "1"}, Vote: true, CaughtUp: true})
+	}
+	w.leader = w.servers[0].ID
+	return w
+}
+
+func (w *world) names() (names []view.Name) {
+	for name := range w.members {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (w *world) view() *view.View {
+	var all []view.Member
+	for _, m := range w.members {
+		all = append(all, *m)
+	}
+	return view.Make(w.leader.Name, 1, all)
+}
+
+func (w *world) up(id ID) bool {
+	m := w.members[id.Name]
+	return m.State == view.Alive && m.Folder == id.Folder
+}
+
+// counts are the voters and those of them that are up.
+func (w *world) counts() (up, of int) {
+	for _, s := range w.servers {
+		if s.Vote {
+			of++
+			if w.up(s.ID) {
+				up++
+			}
+		}
+	}
+	return up, of
+}
+
+// elect has some voter that is up lead, if there is one; it tells whether the library would have it lead.
+func (w *world) elect() bool {
+	for _, s := range w.servers {
+		if s.Vote && w.up(s.ID) && !w.up(w.leader) {
+			w.leader = s.ID
+		}
+	}
+	for i := range w.servers {
+		w.servers[i].Silence = 0
+		if !w.up(w.servers[i].ID) {
+			w.servers[i].Silence = w.silence[w.servers[i].ID]
+		}
+	}
+	up, of := w.counts()
+	return up > of/2
+}
+
+// step does what Next says, and checks all that is promised of one change.
+func (w *world) step(t *rapid.T) bool {
+	leads := w.elect()
+	if !w.up(w.leader) {
+		return false
+	}
+	at := func(id ID) int { return slices.IndexFunc(w.servers, func(s Server) bool { return s.ID == id }) }
+	change, due := Next(State{Leader: w.leader, Servers: slices.Clone(w.servers), View: w.view()}, rule)
+	switch {
+	case !due:
+		return false
+	case !leads:
+		t.Fatalf("%v without a majority: %v", change, w.servers)
+	}
+	i := at(change.ID)
+	switch {
+	case change.Kind == Stage:
+		if i >= 0 || !w.up(change.ID) {
+			t.Fatalf("%v is staged: up %v, at %d", change.ID, w.up(change.ID), i)
+		}
+		w.servers = append(w.servers, Server{ID: change.ID})
+	case change.Kind == Promote:
+		if i < 0 || w.servers[i].Vote || !w.servers[i].CaughtUp || !w.up(change.ID) {
+			t.Fatalf("%v is given a vote", change.ID)
+		}
+		w.servers[i].Vote = true
+	case i < 0 || change.ID == w.leader:
+		t.Fatalf("%v is taken out", change.ID)
+	default:
+		up, of := w.counts()
+		if w.servers[i].Vote && w.up(change.ID) && up < of {
+			t.Fatalf("%v loses its vote while another is away", change.ID)
+		}
+		w.servers = slices.Delete(w.servers, i, i+1)
+	}
+	if up, of := w.counts(); up <= of/2 || of > rule.Most {
+		t.Fatalf("%d of %d voters are up after %v", up, of, change)
+	}
+	return true
+}
+
+// settle lets all staged catch up until nothing more is due, which must come.
+func (w *world) settle(t *rapid.T) {
+	for n := 0; ; n++ {
+		if n > 100 {
+			t.Fatalf("no end of changes: %v", w.servers)
+		}
+		for i := range w.servers {
+			w.servers[i].CaughtUp = true
+		}
+		if !w.step(t) {
+			return
+		}
+	}
+}
+
+func TestVoters(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		pick := func(t *rapid.T) *view.Member { return w.members[rapid.SampledFrom(w.names()).Draw(t, "who")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"step": func(t *rapid.T) { w.step(t) },
+			"catch up": func(t *rapid.T) {
+				for i := range w.servers {
+					w.servers[i].CaughtUp = true
+				}
+			},
+			"die": func(t *rapid.T) {
+				m := pick(t)
+				m.State = rapid.SampledFrom([]view.State{view.Dead, view.Left}).Draw(t, "how")
+				w.silence[ID{m.Name, m.Folder}] = 2 * rule.Silent
+				for id, silence := range w.silence { // what the name was before as well
+					if id.Name == m.Name {
+						w.silence[id] = max(silence, 2*rule.Silent)
+					}
+				}
+			},
+			"for good": func(t *rapid.T) {
+				for id := range w.silence {
+					if !w.up(id) {
+						w.silence[id] = rule.DeadFor
+					}
+				}
+			},
+			"return": func(t *rapid.T) { pick(t).State = view.Alive },
+			"lose its disk": func(t *rapid.T) {
+				m := pick(t)
+				w.silence[ID{m.Name, m.Folder}] = 0 // the leader has not noticed yet
+				m.Folder += "1"
+				m.State = view.Alive
+			},
+			"settle": func(t *rapid.T) { w.settle(t) },
+			"": func(t *rapid.T) {
+				if _, of := w.counts(); of > rule.Most {
+					t.Fatal(of)
+				}
+			},
+		})
+		// All return: in the end there are as many as should be, all up, and no region or zone has more than its part
+		// by two or more while another has room.
+		for _, m := range w.members {
+			m.State = view.Alive
+		}
+		if !w.elect() {
+			return // too many disks were lost: only people can help
+		}
+		w.settle(t)
+		up, of := w.counts()
+		want := min(len(w.members), rule.Most)
+		if up != of || of != want && (want%2 != 0 || of != want-1) {
+			t.Fatalf("%d of %d voters are up, of %d processes: %v", up, of, len(w.members), w.servers)
+		}
+	})
+}
+
+// Five of twelve in six zones of three regions: two, two and one by region, and no zone twice.
+func TestSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.members = map[view.Name]*view.Member{}
+		order := rapid.Permutation([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}).Draw(t, "order")
+		for i, n := range order {
+			name := view.Name(fmt.Sprintf("p%02d", i))
+			w.members[name] = &view.Member{Life: view.Life{Name: name}, Folder: "1", Raft: "here", Size: view.Large,
+				Zone: view.Zone(fmt.Sprint("z", n/2)), Region: view.Region(fmt.Sprint("r", n/4))}
+		}
+		w.settle(t)
+		regions, zones := map[view.Region]int{}, map[view.Zone]int{}
+		for _, s := range w.servers {
+			regions[w.members[s.Name].Region]++
+			zones[w.members[s.Name].Zone]++
+		}
+		if len(w.servers) != 5 || len(regions) != 3 || len(zones) != 5 || regions["r0"] > 2 || regions["r1"] > 2 ||
+			regions["r2"] > 2 {
+			t.Fatalf("%v: %v, %v", w.servers, regions, zones)
+		}
+	})
+}
+
+// A dead voter for whom none stands in stays while its removal gains nothing: at five with one dead, not with two.
+func TestNoneStandsIn(t *testing.T) {
+	for dead, want := range []bool{false, false, true} {
+		s := State{Leader: ID{"a", "1"}}
+		var members []view.Member
+		for i, name := range []view.Name{"a", "b", "c", "d", "e"} {
+			m := view.Member{Life: view.Life{Name: name}, Folder: "1", Raft: "here", Zone: view.Zone(name)}
+			server := Server{ID: ID{name, "1"}, Vote: true, CaughtUp: true}
+			if i >= 5-dead {
+				m.State, server.Silence = view.Dead, rule.DeadFor
+			}
+			s.Servers, members = append(s.Servers, server), append(members, m)
+		}
+		s.View = view.Make("a", 1, members)
+		if change, due := Next(s, rule); due != want {
+			t.Errorf("%d dead: %v", dead, change)
+		}
+	}
+}
