--- a/cmd/flaxcove/main.go
+++ b/cmd/flaxcove/main.go
@@ -111,7 +111,7 @@
 		return err
 	}
 	if path := c.String("cluster"); path != "" {
-		leave, err := startCluster(path, cfg, s)
+		leave, err := startCluster(path, cfg, s, log)
 		if err != nil {
 			return err
 		}
