--- a/cmd/flaxcove/main.go
+++ b/cmd/flaxcove/main.go
@@ -111,7 +111,7 @@
 		return err
 	}
 	if path := c.String("cluster"); path != "" {
-		leave, err := startCluster(path, cfg, s, log)
+		leave, err := startCluster(path, cfg, s)
 		if err != nil {
 			return err
 		}
--- a/lab/cluster/play/play.go
+++ b/lab/cluster/play/play.go
@@ -11,7 +11,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"sync/atomic"
 
 	"flaxcove/choice"
 	"flaxcove/internal/cluster/status"
@@ -44,20 +43,10 @@
 	Epochs  int
 	Last    []*status.Status
 	Purges  []PurgeTold
-	Falls   []Fall
 	// SettledMS is how long after the last fault all saw the same again.
 	SettledMS int64
 }
 
-// Each run looks for free ports in a range of its own: two that begin at once must not see the same ones free.
-const (
-	firstPort = 30000
-	morePorts = 25000 // a multiple of portsEach
-	portsEach = 500   // more than a mesh tries
-)
-
-var runs atomic.Int64
-
 // Run plays one.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	if o.Uses == nil {
@@ -84,13 +73,9 @@
 		return nil, err
 	}
 	out := &Result{Result: r, Last: p.last, Epochs: p.judge.Epochs(), Purges: p.told, SettledMS: p.settledMS}
-	out.Falls = p.falls
 	out.Excused = p.excuse(r.Verdict)
 	if len(o.Uses) > 0 {
 		out.Breaks = p.judge.End(p.apart)
-		if r.Void == "" {
-			out.Breaks = append(out.Breaks, p.unexpected(out.Epochs)...)
-		}
 	}
 	return out, nil
 }
@@ -129,13 +114,6 @@
 		switch f.Kind {
 		case "zone":
 			t.Kind, t.Part = "silent", world.Part{Zone: f.Zone}
-			if f.Every > 0 {
-				for at := f.At; at < f.At+f.Seconds; at += 2 * f.Every {
-					t.At, t.Seconds = at, min(f.Every, f.At+f.Seconds-at)
-					spec.Troubles = append(spec.Troubles, t)
-				}
-				continue
-			}
 		case "stop":
 			t.Kind = "sender_pause"
 		case "kill":
@@ -157,19 +135,12 @@
 			Region: fmt.Sprintf("r%d", zone%p.s.Regions), Small: slices.Contains(p.s.Small, i)})
 	}
 	for i := range min(5, p.s.Processes, max(3, p.s.Processes/2*2-1)) {
-		if !slices.Contains(p.s.Small, i) && len(p.s.Founders) == 0 {
+		if !slices.Contains(p.s.Small, i) {
 			all.Founders = append(all.Founders, all.Processes[i].Name)
 		}
 	}
-	for _, i := range p.s.Founders {
-		all.Founders = append(all.Founders, all.Processes[i].Name)
-	}
 	p.all = all
-	from := p.o.Port
-	if from == 0 {
-		from = firstPort + (os.Getpid()*37+int(runs.Add(1)))*portsEach%morePorts
-	}
-	p.mesh, err = mesh.Open(all, from)
+	p.mesh, err = mesh.Open(all, max(p.o.Port, 30000+os.Getpid()%500*40))
 	return err
 }
 
--- a/lab/cluster/play/watch.go
+++ b/lab/cluster/play/watch.go
@@ -63,8 +63,6 @@
 	settled   bool
 	settledMS int64
 	open      int // purges that are not complete
-	falls     []Fall
-	now       choice.Time // when last was heard
 
 	mu     sync.Mutex
 	leader string
@@ -92,7 +90,7 @@
 }
 
 func (p *player) begun(h *live.Hold) {
-	p.spec, p.falls = h.World().Spec, fallsOf(p.s)
+	p.spec = h.World().Spec
 	if p.mesh == nil {
 		return
 	}
@@ -107,9 +105,7 @@
 	}
 }
 
-func (p *player) busy() bool {
-	return p.mesh != nil && (!p.settled || p.open > 0 || p.awaitsNear()) && p.apart == nil
-}
+func (p *player) busy() bool { return p.mesh != nil && (!p.settled || p.open > 0) && p.apart == nil }
 
 func (p *player) wait() {
 	if p.stop != nil {
@@ -190,8 +186,6 @@
 	}
 	p.mu.Unlock()
 	p.last = all
-	p.now = h.Now()
-	p.fell(p.now, all)
 	if p.o.Saw != nil {
 		p.o.Saw(h.Now(), all)
 	}
@@ -240,7 +234,7 @@
 		for ctx.Err() == nil && time.Now().Before(deadline) {
 			tries++
 			var answer struct {
-				State string `json:"state"`
+				Whole string `json:"whole"`
 			}
 			var code int
 			if !decided {
@@ -250,12 +244,12 @@
 			} else {
 				code = p.ask(ctx, by, "GET", "/v1/purges/"+id, nil, &answer)
 			}
-			if answer.State == "complete" || answer.State == "complete with lapsed" {
+			if answer.Whole == "complete" || answer.Whole == "complete_with_lapsed" {
 				h.Post(func() {
 					told.Decided, told.Complete = told.Given+tenths(decidedIn), h.Now()
-					told.Tries, told.Whole = tries, answer.State
+					told.Tries, told.Whole = tries, answer.Whole
 					p.told = append(p.told, told)
-					p.judge.Complete(id, h.Now(), answer.State != "complete")
+					p.judge.Complete(id, h.Now(), answer.Whole != "complete")
 					p.open--
 				})
 				return
--- a/lab/cluster/schedule/schedule.go
+++ b/lab/cluster/schedule/schedule.go
@@ -25,19 +25,8 @@
 	Seconds   float64 `toml:"seconds"` // of traffic
 	Rate      float64 `toml:"rate"`    // notices a second
 	Small     []int   `toml:"small"`   // processes of the small size
-	// Founders of the council; drawn over the zones where none is named. A sole one leads at first.
-	Founders []int   `toml:"founders"`
-	Faults   []Fault `toml:"fault"`
-	Purges   []Purge `toml:"purge"`
-	Expect   Expect  `toml:"expect"`
-}
-
-// Expect is what must be seen in a run beyond what is promised always; asked only of a machine that keeps time.
-type Expect struct {
-	// Moves says that each fall of a zone has a plan in force at most processes, and that at the end all goes near.
-	Moves bool `toml:"moves"`
-	// MostPlans beyond the first; 0 for any number.
-	MostPlans int `toml:"most_plans"`
+	Faults    []Fault `toml:"fault"`
+	Purges    []Purge `toml:"purge"`
 }
 
 // Fault is one thing that goes wrong for a time.
@@ -47,7 +36,7 @@
 	Seconds float64 `toml:"seconds"`
 	From    []int   `toml:"from"`    // processes that it strikes; whose messages are struck
 	To      []int   `toml:"to"`      // on their way to these; all others where none is named
-	Every   float64 `toml:"every_s"` // of a flap, or a zone that flaps: how long it is off, and on
+	Every   float64 `toml:"every_s"` // of a flap: how long it is off, and on
 	MS      float64 `toml:"ms"`      // of late
 	Zone    int     `toml:"zone"`    // from 1, of what strikes endpoints
 }
@@ -117,7 +106,6 @@
 		}
 	}
 	known("small", s.Small)
-	known("founders", s.Founders)
 	for i := range s.Faults {
 		f, path := &s.Faults[i], fmt.Sprintf("fault[%d].", i)
 		if Kinds[f.Kind] == "" {
