--- a/choice/filter_test.go
+++ b/choice/filter_test.go
@@ -75,3 +75,17 @@
 	// 15 newer, sent: true
 	// 16 newer, sent: false
 }
+
+// What may have run in one zone and is known there alone may not be repeated elsewhere: a plan that sends it away would
+// leave it nowhere to go.
+func ExampleSender_allowedKnownInOneZone() {
+	set := plain()
+	set.Workloads[1].ZoneGroup = true
+	d := two(set)
+	d.s.Taken(Notice{ID: "far1", Workload: 1, Key: NoKey, Destination: 3, HardStop: 6 * Second, MayRun: true})
+	d.s.TurnEnd()
+	d.take(1, 3, "far2")
+	// Output:
+	// 0.0     dispatch far1 to near
+	// 0.0     dispatch far2 to far
+}
--- a/choice/ranks.go
+++ b/choice/ranks.go
@@ -62,7 +62,7 @@
 		switch {
 		case !e.listed || s.now < e.route.haltUntil || n.MayRun && n.w.ZoneGroup && e.zone != n.RanIn ||
 			n.w.Repeat == SingleUse && e.doubt > 0 && s.now-e.badAt < 2*lastTrial && s.now < s.lastSend(n)-quietFor:
-		case !s.h.Allowed(n.ID, e.id):
+		case !(n.MayRun && n.w.ZoneGroup) && !s.h.Allowed(n.ID, e.id): // such a repeat is known in one zone alone
 			barred = true
 		case e.open != nil && e.open.turn == s.turns && !e.aside && e.open.n < n.d.kind.BundleMax:
 			return e, barred
