--- /dev/null
+++ b/internal/cluster/failover/plan/room_test.go
@@ -0,0 +1,101 @@
+package plan_test
+
+import (
+	"maps"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"flaxcove/choice"
+	"flaxcove/internal/cluster/failover/plan"
+	"flaxcove/internal/cluster/failover/weigh"
+	"flaxcove/internal/cluster/sight"
+	"flaxcove/internal/cluster/view"
+)
+
+// Whatever is judged, no plan gives a place more than it was told that it can do, less what its own zone hands in; no
+// part is negative; epochs follow each other; and nothing is sent to where nobody is answered.
+func TestPlansFitTheirRooms(t *testing.T) {
+	zones := []view.Zone{"a1", "a2", "b1", "b2"}
+	regions := map[view.Zone]view.Region{"a1": "A", "a2": "A", "b1": "B", "b2": "B"}
+	rapid.Check(t, func(t *rapid.T) {
+		set := plan.Usual()
+		p, now, epoch := plan.New(set), view.Now(0), view.Epoch(0)
+		p.Members(regions)
+		rate, limit := map[view.Zone]float64{}, map[view.Zone]float64{}
+		bad := map[view.Zone]bool{}
+		for _, z := range zones {
+			rate[z] = float64(rapid.IntRange(1, 80).Draw(t, "rate"))
+			limit[z] = rate[z] + float64(rapid.IntRange(0, 80).Draw(t, "spare"))
+		}
+		for range rapid.IntRange(5, 80).Draw(t, "steps") {
+			now += view.Now(rapid.IntRange(1, 30).Draw(t, "tenths")) * second / 10
+			if rapid.IntRange(0, 9).Draw(t, "turn") == 0 {
+				z := rapid.SampledFrom(zones).Draw(t, "zone")
+				bad[z] = !bad[z]
+			}
+			p.Judged(now, standings(zones, rate, limit, bad))
+			next, some := p.Step(now)
+			if !some {
+				continue
+			}
+			if next.Epoch != epoch+1 {
+				t.Fatalf("epoch %d after %d", next.Epoch, epoch)
+			}
+			if err := next.Check(); err != nil {
+				t.Fatal(err)
+			}
+			if fits(t, next, rate, limit, bad); rapid.Bool().Draw(t, "applied") {
+				epoch++
+				p.Applied(now, next)
+			}
+		}
+	})
+}
+
+func fits(t *rapid.T, next plan.Plan, rate, limit map[view.Zone]float64, bad map[view.Zone]bool) {
+	given, near := map[view.Zone]float64{}, maps.Clone(rate)
+	for _, r := range next.Routes {
+		near[r.From] = rate[r.From] * r.Near
+		for _, s := range r.Shares {
+			given[s.Zone] += s.Part * rate[r.From]
+		}
+	}
+	for z, g := range given {
+		if bad[z] && g > 0.01 {
+			t.Fatalf("%v goes to %v, where nobody is answered: %+v", g, z, next.Routes)
+		}
+		if g+near[z] > 1.1*limit[z]+0.5 {
+			t.Fatalf("%v gets %v beside %v of its own, of %v: %+v", z, g, near[z], limit[z], next.Routes)
+		}
+	}
+}
+
+// standings are as if each zone tried each place each time, and had its notices done where that can be.
+func standings(zones []view.Zone, rate, limit map[view.Zone]float64, bad map[view.Zone]bool) (all []weigh.Standing) {
+	served := map[view.Zone]view.Zone{}
+	for _, from := range zones {
+		for _, z := range append([]view.Zone{from}, zones...) {
+			if _, done := served[from]; !done && !bad[z] {
+				served[from] = z
+			}
+		}
+	}
+	for _, z := range zones {
+		s := weigh.Standing{Place: sight.Place{Destination: choice.DestinationID(1), Zone: z}, State: weigh.Well, Part: 1,
+			Limit: limit[z], Endpoints: 1}
+		if bad[z] {
+			s.State = weigh.Bad
+		}
+		for _, from := range zones {
+			pair := weigh.Pair{From: from, State: s.State, Part: 1}
+			if served[from] == z {
+				pair.Done = rate[from]
+			}
+			s.Done += pair.Done
+			s.Pairs = append(s.Pairs, pair)
+		}
+		all = append(all, s)
+	}
+	return all
+}
