--- /dev/null
+++ b/internal/cluster/purge/run/calls.go
@@ -0,0 +1,293 @@
+package run
+
+// This file is the messages between processes: begun here, and taken here. A message to this process itself (the
+// leader may be the root) goes the same way without the link.
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"flaxcove/internal/cluster/purge/ledger"
+	"flaxcove/internal/cluster/purge/spread"
+	"flaxcove/internal/cluster/view"
+)
+
+const (
+	pathDown    = "/purge/down"
+	pathRoot    = "/purge/root" // from the leader to the root
+	pathUp      = "/purge/up"
+	pathTop     = "/purge/top" // from the root to the leader
+	pathMissed  = "/purge/missed"
+	pathPropose = "/purge/propose"
+	pathShow    = "/purge/show"
+)
+
+var errNotLeading = errors.New("purge: this process does not lead the council")
+
+type missed struct {
+	Since uint64 `json:"since"`
+}
+
+type proposal struct {
+	Kind string          `json:"kind"`
+	Body json.RawMessage `json:"body"`
+}
+
+func (r *Runner) handle() {
+	r.take = map[string]func(context.Context, view.Life, []byte) (any, error){
+		pathDown: r.takeDown, pathRoot: r.takeRoot, pathUp: r.takeUp, pathTop: r.takeTop,
+		pathMissed: r.takeMissed, pathPropose: r.takePropose, pathShow: r.takeShow,
+	}
+	for path, h := range r.take {
+		r.o.Link.Handle(path, h)
+	}
+}
+
+// call sends one message and reads its answer, within callFor.
+func (r *Runner) call(ctx context.Context, to view.Name, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callFor)
+	defer cancel()
+	if to != r.o.Self.Name {
+		return r.o.Link.Call(ctx, to, path, in, out)
+	}
+	r.mu.Lock()
+	self := r.o.Self.Life
+	r.mu.Unlock()
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	answer, err := r.take[path](ctx, self, body)
+	if err != nil {
+		return err
+	}
+	if body, err = json.Marshal(answer); err != nil {
+		return err
+	}
+	return json.Unmarshal(body, out)
+}
+
+// downer is a spread.State or the State of a Gather.
+type downer interface {
+	Answered(view.Life, spread.Up, view.Now)
+	Failed(view.Life, view.Now)
+}
+
+func (r *Runner) down(of downer, path string, to spread.To) {
+	var up spread.Up
+	err := r.call(r.ctx, to.Child.Name, path, to.Down, &up)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err != nil || up.From.Name != to.Child.Name:
+		r.calls.Failed++
+		of.Failed(to.Child, r.o.Now())
+	default:
+		of.Answered(to.Child, up, r.o.Now())
+		r.turned()
+	}
+}
+
+func (r *Runner) upward(parent spread.Above, up spread.Up) {
+	path := pathUp
+	if parent.Top {
+		path = pathTop
+	}
+	var a spread.UpAnswer
+	err := r.call(r.ctx, parent.Name, path, up, &a)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.calls.Failed++
+		r.state.UpFailed(parent, r.o.Now())
+		return
+	}
+	r.state.UpDone(parent, a, r.o.Now())
+}
+
+// takeDown takes purges in and answers how all below stand, once they have applied them or HoldFor is over.
+func (r *Runner) takeDown(ctx context.Context, from view.Life, body []byte) (any, error) {
+	var d spread.Down
+	if err := json.Unmarshal(body, &d); err != nil {
+		return nil, fmt.Errorf("purge: message down: %w", err)
+	}
+	if d.From.Name != from.Name {
+		return nil, fmt.Errorf("purge: message down: from %q, field from tells %q", from.Name, d.From.Name)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls.DownsIn++
+	r.state.FromParent(d, r.o.Now())
+	r.state.Hold()
+	r.turned()
+	limit := time.NewTimer(spread.HoldFor)
+	defer limit.Stop()
+	for waiting := true; waiting && !r.state.Settled(); {
+		turn := r.turn
+		r.mu.Unlock()
+		select {
+		case <-turn:
+		case <-limit.C:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		case <-r.ctx.Done():
+			waiting = false
+		}
+		r.mu.Lock()
+	}
+	return r.state.Answer(d, r.o.Now()), nil
+}
+
+// takeRoot is the same from whoever leads: a root without a place in the council learns by it to whom it reports.
+func (r *Runner) takeRoot(ctx context.Context, from view.Life, body []byte) (any, error) {
+	leader, known := r.o.Council.Leader()
+	r.mu.Lock()
+	r.leader = from
+	r.placeInTree(leader, known, r.o.Now())
+	r.mu.Unlock()
+	return r.takeDown(ctx, from, body)
+}
+
+func readUp(from view.Life, body []byte) (up spread.Up, err error) {
+	if err = json.Unmarshal(body, &up); err != nil {
+		return up, fmt.Errorf("purge: message up: %w", err)
+	}
+	if up.From.Name != from.Name {
+		return up, fmt.Errorf("purge: message up: from %q, field from tells %q", from.Name, up.From.Name)
+	}
+	return up, nil
+}
+
+func (r *Runner) takeUp(_ context.Context, from view.Life, body []byte) (any, error) {
+	up, err := readUp(from, body)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls.UpsIn++
+	a := r.state.FromChild(up, r.o.Now())
+	r.turned()
+	return a, nil
+}
+
+func (r *Runner) takeTop(_ context.Context, from view.Life, body []byte) (any, error) {
+	up, err := readUp(from, body)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.leads || r.gather == nil {
+		return nil, errNotLeading
+	}
+	r.calls.UpsIn++
+	a := r.gather.FromRoot(up, r.o.Now())
+	r.turned()
+	return a, nil
+}
+
+// takeMissed tells one that comes back what it missed, as far as it is known here.
+func (r *Runner) takeMissed(_ context.Context, _ view.Life, body []byte) (any, error) {
+	var m missed
+	if err := json.Unmarshal(body, &m); err != nil {
+		return nil, fmt.Errorf("purge: asked for what was missed: %w", err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leads && r.gather != nil {
+		return r.gather.Missed(m.Since, r.o.Now()), nil
+	}
+	return r.state.Missed(m.Since, r.o.Now()), nil
+}
+
+// takePropose is another process's order, to be decided in common here.
+func (r *Runner) takePropose(ctx context.Context, _ view.Life, body []byte) (any, error) {
+	var p proposal
+	if err := json.Unmarshal(body, &p); err != nil {
+		return nil, fmt.Errorf("purge: proposal: %w", err)
+	}
+	if p.Kind != ledger.KindOpen && p.Kind != ledger.KindJoin && p.Kind != ledger.KindGone {
+		return nil, fmt.Errorf("purge: proposal: kind %q is not taken from others", p.Kind)
+	}
+	if !r.o.Council.Leading() {
+		return nil, errNotLeading
+	}
+	answer, err := r.o.Council.Propose(ctx, ledger.Part, p.Kind, p.Body)
+	r.wake()
+	return answer, err
+}
+
+// propose has one command decided, by this process or by whoever leads, tried again until ctx ends: each command is
+// safe to repeat. An error tells that it is not known whether it was decided.
+func (r *Runner) propose(ctx context.Context, kind string, body, out any) error {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	last := errors.New("nobody to ask is known")
+	for wait := pace; ; wait = min(2*wait, 16*pace) {
+		if r.o.Council.Leading() {
+			var answer json.RawMessage
+			if answer, err = r.o.Council.Propose(ctx, ledger.Part, kind, json.RawMessage(text)); err == nil {
+				r.wake()
+				return json.Unmarshal(answer, out)
+			}
+			last = err
+		} else if err = r.askAll(ctx, pathPropose, proposal{kind, text}, out); err == nil {
+			return nil
+		} else if err != errNobody {
+			last = err
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return fmt.Errorf("purge: not known to be decided: %w", last)
+		case <-r.ctx.Done():
+			return fmt.Errorf("purge: this process ends: %w", last)
+		}
+	}
+}
+
+var errNobody = errors.New("purge: nobody to ask is known")
+
+// askAll asks one after the other until one answers.
+func (r *Runner) askAll(ctx context.Context, path string, in, out any) error {
+	err := errNobody
+	for _, n := range r.whomToAsk() {
+		if ctx.Err() != nil {
+			break
+		}
+		if err = r.call(ctx, n, path, in, out); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// whomToAsk is for what the leader alone can answer: by the council, or without a place in it those who hold its
+// records and then any, at most mostAsked.
+func (r *Runner) whomToAsk() (all []view.Name) {
+	all = r.o.Council.Ask()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leader.Name != "" && len(all) == 0 {
+		all = append(all, r.leader.Name)
+	}
+	if r.view == nil {
+		return all
+	}
+	for _, voted := range []bool{true, false} {
+		for _, m := range r.view.Members {
+			if m.Here() && m.Voted == voted && len(all) < mostAsked && !slices.Contains(all, m.Name) {
+				all = append(all, m.Name)
+			}
+		}
+	}
+	return slices.DeleteFunc(all, func(n view.Name) bool { return n == r.o.Self.Name })
+}
--- /dev/null
+++ b/internal/cluster/purge/run/run.go
@@ -0,0 +1,287 @@
+// Package run does what the purge's deciding parts say: it carries their messages, hands purges to the sender, and
+// takes callers' orders over HTTP.
+//
+// It owns the goroutines and the lock (purge.mu, see package cluster) around spread.State, and around spread.Gather
+// while this process leads the council. It must never decide who has acknowledged, acknowledge what the sender does
+// not have on disk, or hold its lock over a call. A process that reaches nobody serves on: Ready opens by itself.
+package run
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"flaxcove/internal/cluster/purge/ledger"
+	"flaxcove/internal/cluster/purge/spread"
+	"flaxcove/internal/cluster/view"
+	"flaxcove/internal/sender/together"
+)
+
+// Tuned values.
+const (
+	pace        = 25 * time.Millisecond // how often the deciding parts are asked, besides at once on news
+	callFor     = 2 * time.Second       // one message, over the 250 ms that an answer may wait for those below
+	decideFor   = 5 * time.Second       // one order in common, over a change of leader (1 to 2 s)
+	catchUpFor  = 3 * time.Second       // a start waits so long for what it missed; a hard stop is seconds at least
+	mostAsked   = 8                     // whom an order in common is tried at, in one round
+	mostClosing = 256                   // purges closed by one command: under 300 KB at 12 zones
+)
+
+// Link carries messages between processes, and the callers' HTTP.
+type Link interface {
+	Call(ctx context.Context, to view.Name, path string, in, out any) error
+	Handle(path string, h func(ctx context.Context, from view.Life, body []byte) (any, error))
+	Public() *http.ServeMux
+}
+
+// Council is where purges are decided in common. The ledger may be read inside Read alone.
+type Council interface {
+	Propose(ctx context.Context, part, kind string, body any) (json.RawMessage, error)
+	Leader() (view.Name, bool)
+	Leading() bool
+	Ask() []view.Name // whom to ask for a decision, the likeliest first
+	Clock() time.Duration
+	Read(f func(index uint64))
+}
+
+// Tree is who reports to whom.
+type Tree interface {
+	Parent(p view.Name) (view.Name, bool)
+	Children(p view.Name) []view.Name
+	Root() view.Name
+}
+
+// Options is what a Runner is given; Now, CatchUp and Log may be left out.
+type Options struct {
+	Self    view.Member // Life, Zone, Region and Folder are read; a view may tell a higher incarnation later
+	Link    Link
+	Council Council        // nil at a process that has no place in it
+	Ledger  *ledger.Ledger // the council's part of that name; nil where there is no council
+	Orders  together.Orders
+	Longest time.Duration // the longest hard stop of what the folder holds; 0 for not known
+	CatchUp time.Duration // how long a start waits for what it missed, at most
+	Now     func() view.Now
+	Log     *zap.Logger
+}
+
+// Runner is the purge part of one process.
+type Runner struct {
+	o     Options
+	ctx   context.Context
+	stop  context.CancelFunc
+	going sync.WaitGroup
+	kick  chan struct{}
+	ready chan struct{}
+	posts chan struct{} // callers' orders under way
+	take  map[string]func(context.Context, view.Life, []byte) (any, error)
+
+	mu      sync.Mutex // purge.mu
+	state   *spread.State
+	gather  *spread.Gather // nil until this life first leads
+	leads   bool
+	lead    leading
+	view    *view.View
+	tree    Tree
+	leader  view.Life // who last spoke to this process as the one that leads
+	longest time.Duration
+	told    time.Duration // the longest that the seat tells
+	caught  bool
+	left    bool          // gave its seat up
+	turn    chan struct{} // closed at the next change of state
+	calls   Figures
+}
+
+// Figures are counters since the start.
+type Figures struct {
+	Has, Applied     uint64
+	Downs, Ups       uint64 // messages begun
+	DownsIn, UpsIn   uint64 // messages taken
+	Failed           uint64 // of those begun
+	CaughtUp, Leader bool
+}
+
+// Start takes the handlers' paths and begins. The state of the sender is asked once, before it returns.
+func Start(o Options) (*Runner, error) {
+	if o.Link == nil || o.Orders == nil || (o.Council == nil) != (o.Ledger == nil) {
+		return nil, errors.New("purge: a link and a sender's orders must be given, and a ledger with a council")
+	}
+	if o.Council == nil {
+		o.Council = nobody{}
+	}
+	if o.Now == nil {
+		began := time.Now()
+		o.Now = func() view.Now { return time.Since(began) }
+	}
+	if o.CatchUp == 0 {
+		o.CatchUp = catchUpFor
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	r := &Runner{o: o, kick: make(chan struct{}, 1), ready: make(chan struct{}), posts: make(chan struct{}, mostPosts),
+		turn: make(chan struct{}), state: spread.New(o.Self.Life, o.Self.Folder, o.Orders.Applied()), longest: o.Longest}
+	r.ctx, r.stop = context.WithCancel(context.Background())
+	r.handle()
+	r.public(o.Link.Public())
+	r.going.Go(r.loop)
+	r.going.Go(r.catchUp)
+	return r, nil
+}
+
+// Ready opens when all that was missed is applied, or when the bound for that is over (CaughtUp tells which). Until
+// then nothing may be dispatched that was taken on in an earlier life.
+func (r *Runner) Ready() <-chan struct{} { return r.ready }
+
+// CaughtUp tells whether this life has a seat and has applied all that was decided before it.
+func (r *Runner) CaughtUp() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.caught
+}
+
+// SetView tells who is here, and the tree derived from it.
+func (r *Runner) SetView(v *view.View, t Tree) {
+	r.mu.Lock()
+	r.view, r.tree = v, t
+	if m, found := v.Find(r.o.Self.Name); found && m.Incarnation > r.o.Self.Incarnation {
+		// An earlier life of the name had a higher number: this one has risen above it, and needs its seat anew.
+		r.o.Self.Incarnation = m.Incarnation
+		r.gather = nil
+		r.state.Rise(m.Life, r.o.Now())
+		r.told = -1
+	}
+	r.mu.Unlock()
+	r.wake()
+}
+
+// Longest tells the longest hard stop of any workload, as a sender's digest has it. It never shrinks for this life:
+// what was taken on under a longer one may still be held.
+func (r *Runner) Longest(d time.Duration) {
+	r.mu.Lock()
+	r.longest = max(r.longest, d)
+	r.mu.Unlock()
+}
+
+// Figures are counters for operators.
+func (r *Runner) Figures() Figures {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f := r.calls
+	f.Has, f.Applied, f.CaughtUp, f.Leader = r.state.Has(), r.state.AppliedTo(), r.caught, r.leads
+	return f
+}
+
+// Close ends all of it; calls that are out are cut.
+func (r *Runner) Close() {
+	r.stop()
+	r.going.Wait()
+}
+
+func (r *Runner) wake() {
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// turned tells all who wait on the state that it has changed. The lock is held.
+func (r *Runner) turned() {
+	close(r.turn)
+	r.turn = make(chan struct{})
+	r.wake()
+}
+
+func (r *Runner) loop() {
+	tick := time.NewTicker(pace)
+	defer tick.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-tick.C:
+		case <-r.kick:
+		}
+		r.step()
+	}
+}
+
+// step asks each deciding part what it wants, and begins that.
+func (r *Runner) step() {
+	news := r.readLedger()
+	leader, known := r.o.Council.Leader()
+	now := r.o.Now()
+
+	r.mu.Lock()
+	r.placeInTree(leader, known, now)
+	r.leadOn(news, now)
+	downs := r.state.Downs(now)
+	r.calls.Downs += uint64(len(downs))
+	up, due := r.state.Up(now)
+	parent := r.state.Parent()
+	if due {
+		r.calls.Ups++
+	}
+	apply := r.state.ToApply(now)
+	r.mu.Unlock()
+
+	for _, to := range downs {
+		r.going.Go(func() { r.down(r.state, pathDown, to) })
+	}
+	if due {
+		r.going.Go(func() { r.upward(parent, up) })
+	}
+	if apply != nil {
+		r.o.Orders.Purge(apply, func(applied uint64, found []together.Found) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.state.Applied(applied, found, r.o.Now())
+			r.turned()
+		})
+	}
+}
+
+// placeInTree tells the state who is above and below. At the root that is whoever leads the council. The lock is held.
+func (r *Runner) placeInTree(leader view.Name, known bool, now view.Now) {
+	if r.view == nil || r.tree == nil {
+		return
+	}
+	life := func(n view.Name) view.Life {
+		m, found := r.view.Find(n)
+		if !found {
+			return view.Life{}
+		}
+		return m.Life
+	}
+	var above spread.Above
+	if p, ok := r.tree.Parent(r.o.Self.Name); ok {
+		above.Life = life(p)
+	} else if known && r.tree.Root() == r.o.Self.Name {
+		above = spread.Above{Life: life(leader), Top: true}
+	} else if r.tree.Root() == r.o.Self.Name {
+		above = spread.Above{Life: r.leader, Top: true}
+	}
+	var below []view.Life
+	for _, n := range r.tree.Children(r.o.Self.Name) {
+		if l := life(n); l.Name != "" {
+			below = append(below, l)
+		}
+	}
+	r.state.Tree(above, below, now)
+}
+
+// nobody is the council of a process that has no place in it.
+type nobody struct{}
+
+func (nobody) Propose(context.Context, string, string, any) (json.RawMessage, error) {
+	return nil, errNotLeading
+}
+func (nobody) Leader() (view.Name, bool) { return "", false }
+func (nobody) Leading() bool             { return false }
+func (nobody) Ask() []view.Name          { return nil }
+func (nobody) Clock() time.Duration      { return 0 }
+func (nobody) Read(func(uint64))         {}
