--- a/internal/cluster/feed.go
+++ b/internal/cluster/feed.go
@@ -79,6 +79,13 @@
 	return n.uses.failover.Guide()
 }
 
+// Woke asks the region what it knows of a destination.
+func (n *Node) Woke(d choice.DestinationID) {
+	if n.uses.popularity != nil {
+		n.uses.popularity.Woke(d)
+	}
+}
+
 // feed takes digests until ctx ends.
 func (n *Node) feed(ctx context.Context) {
 	for {
@@ -96,6 +103,9 @@
 	if n.uses.purge != nil {
 		n.uses.purge.Longest(d.Longest)
 	}
+	if n.uses.popularity != nil {
+		n.uses.popularity.Digest(d)
+	}
 	if n.uses.failover == nil {
 		return
 	}
--- a/internal/cluster/serve.go
+++ b/internal/cluster/serve.go
@@ -8,7 +8,6 @@
 	"syscall"
 	"time"
 
-	"flaxcove/choice"
 	"flaxcove/internal/cluster/failover/plan"
 	"flaxcove/internal/cluster/status"
 	"flaxcove/internal/cluster/view"
@@ -63,6 +62,10 @@
 		f := n.uses.failover.Stats()
 		s.Counts["plans_decided_here"], s.Counts["failover_up"], s.Counts["failover_down"] = int(f.Plans), int(f.Up), int(f.Down)
 	}
+	if n.uses.popularity != nil {
+		p := n.uses.popularity.Status()
+		s.Popularity = &p
+	}
 	in, out := n.link.Traffic()
 	sent, _ := n.members.Sent()
 	s.Traffic.In, s.Traffic.Out = s.Traffic.In+in, s.Traffic.Out+out+uint64(sent)
@@ -74,9 +77,6 @@
 	return s
 }
 
-// Woke asks the region what it knows of a destination.
-func (n *Node) Woke(choice.DestinationID) {}
-
 // Gate is closed once purges that this process missed are applied; nil where none are followed.
 func (n *Node) Gate() <-chan struct{} {
 	if n.uses.purge == nil {
--- a/internal/cluster/status/status.go
+++ b/internal/cluster/status/status.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	popularity "flaxcove/internal/cluster/popularity/run"
 	"flaxcove/internal/cluster/view"
 )
 
@@ -33,6 +34,8 @@
 	Purged  uint64         `json:"purged"` // highest purge that is on disk here
 	Traffic Traffic        `json:"traffic"`
 	Counts  map[string]int `json:"counts,omitempty"`
+
+	Popularity *popularity.Status `json:"popularity,omitempty"` // where that is switched on
 }
 
 // Traffic is bytes of control traffic through our own listener since the start, and the processor time of all of the
--- a/internal/cluster/uses.go
+++ b/internal/cluster/uses.go
@@ -7,18 +7,22 @@
 	"flaxcove/internal/cluster/failover/plan"
 	failover "flaxcove/internal/cluster/failover/run"
 	"flaxcove/internal/cluster/failover/weigh"
+	"flaxcove/internal/cluster/popularity/evict"
+	popularity "flaxcove/internal/cluster/popularity/run"
 	"flaxcove/internal/cluster/purge/ledger"
 	purge "flaxcove/internal/cluster/purge/run"
+	"flaxcove/internal/sender/together"
 )
 
 // This file starts what the cluster is used for, each only where the file switches it on. Their parts of the council
 // are there in any case: a command that one process keeps and another refuses would have their states differ.
 
 type uses struct {
-	inForce  *plan.InForce
-	ledger   *ledger.Ledger
-	failover *failover.Runner
-	purge    *purge.Runner
+	inForce    *plan.InForce
+	ledger     *ledger.Ledger
+	failover   *failover.Runner
+	purge      *purge.Runner
+	popularity *popularity.Runner
 }
 
 func (u *uses) parts(parts map[string]machine.Part) {
@@ -38,14 +42,38 @@
 			InForce: u.inForce, Term: council.Term, Tree: n.Tree, Sightings: n.saw.Read, Local: n.counted.local, Bounds: weigh.Usual(),
 			Settings: set, Log: n.log.Named("failover")})
 	}
+	if on.Popularity {
+		u.popularity = popularity.New(popularity.Options{Self: n.self, Now: n.Now, Link: n.link, Orders: n.o.Orders, View: n.View, Tree: n.Tree,
+			Bounds: evict.Bounds{Destinations: n.o.Settings.Bounds.SmallDestinations, Bytes: n.o.Settings.Bounds.SmallBytes},
+			Log:    n.log.Named("popularity")})
+		u.popularity.Start()
+	}
 	if on.Purges {
-		o := purge.Options{Self: n.self, Link: n.link, Orders: n.o.Orders, Longest: n.o.Longest, Now: n.Now, Log: n.log.Named("purge")}
+		o := purge.Options{Self: n.self, Link: n.link, Orders: forgetting{n.o.Orders, u}, Longest: n.o.Longest, Now: n.Now, Log: n.log.Named("purge")}
 		if n.council != nil {
 			o.Council, o.Ledger = council, u.ledger
 		}
-		u.purge, err = purge.Start(o)
+		if u.purge, err = purge.Start(o); err != nil {
+			return err
+		}
 	}
-	return err
+	return nil
+}
+
+// forgetting has a purge of what was learnt reach what is kept for the region, too, and not only the sender: else a
+// small process would get it back from there.
+type forgetting struct {
+	together.Orders
+	u *uses
+}
+
+func (f forgetting) Purge(all []together.Purge, done func(uint64, []together.Found)) {
+	for _, p := range all {
+		if p.Learnt && p.Match.Destination != nil && f.u.popularity != nil {
+			f.u.popularity.Forget(*p.Match.Destination)
+		}
+	}
+	f.Orders.Purge(all, done)
 }
 
 // seen tells of a new view.
@@ -63,4 +91,7 @@
 	if u.purge != nil {
 		u.purge.Close()
 	}
+	if u.popularity != nil {
+		u.popularity.Close()
+	}
 }
