--- a/internal/cluster/feed.go
+++ b/internal/cluster/feed.go
@@ -113,7 +113,7 @@
 	all := c.window.Take(now, d)
 	// The tables keep what they are handed.
 	n.saw.Add(now, slices.Clone(all))
-	head := n.Tree().ZoneHead(n.self.Zone)
+	head := n.Soon().ZoneHead(n.self.Zone)
 	if head == "" || head == n.self.Name {
 		return
 	}
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,10 +69,14 @@
 	closed bool
 }
 
-// outlook is a view with the tree that it gives; both change at once.
+// outlook is a view with the trees that it gives; all change at once.
 type outlook struct {
 	view *view.View
 	tree *tree.Tree
+	// soon leaves out those who are suspected, two seconds before they count as dead: what a zone sees fail is lost
+	// while it is told to a head that fell with it. Harm: whoever suspects wrongly tells another head than the rest for
+	// as long, which gathering bears; purges keep to tree, as each turn of it costs them messages.
+	soon *tree.Tree
 }
 
 // Start joins the cluster. What it started before an error has ended again.
@@ -151,7 +156,12 @@
 
 // see takes a new view.
 func (n *Node) see(v *view.View) {
-	n.tree.Store(&outlook{v, tree.Derive(v)})
+	at := &outlook{view: v, tree: tree.Derive(v)}
+	at.soon = at.tree
+	if slices.ContainsFunc(v.Members, suspected) {
+		at.soon = tree.Derive(view.Make(v.Self, v.No, slices.DeleteFunc(slices.Clone(v.Members), suspected)))
+	}
+	n.tree.Store(at)
 	if n.link == nil {
 		return
 	}
@@ -202,6 +212,11 @@
 // Now is for how long this process runs.
 func (n *Node) Now() view.Now { return time.Since(n.began) }
 
+func suspected(m view.Member) bool { return m.State == view.Suspected }
+
+// Soon is who reports to whom once those who are suspected are gone.
+func (n *Node) Soon() *tree.Tree { return n.tree.Load().soon }
+
 // Tree is who reports to whom, as seen here now.
 func (n *Node) Tree() *tree.Tree { return n.tree.Load().tree }
 
--- a/internal/cluster/uses.go
+++ b/internal/cluster/uses.go
@@ -39,7 +39,7 @@
 			set.Cold, set.ColdFrom, set.FallMultiple = n.o.Cold, n.o.ColdFrom, n.o.FallMultiple
 		}
 		u.failover = failover.Start(failover.Options{Self: n.self.Name, Zone: n.self.Zone, Now: n.Now, Link: n.link, Council: council,
-			InForce: u.inForce, Term: council.Term, Tree: n.Tree, Sightings: n.saw.Read, Local: n.counted.local, Bounds: weigh.Usual(),
+			InForce: u.inForce, Term: council.Term, Tree: n.Soon, Sightings: n.saw.Read, Local: n.counted.local, Bounds: weigh.Usual(),
 			Settings: set, Log: n.log.Named("failover")})
 	}
 	if on.Popularity {
