--- a/internal/cluster/evidence/digest/digest.go
+++ b/internal/cluster/evidence/digest/digest.go
@@ -70,7 +70,10 @@
 	over := now - w.parts[0].from
 	all := make([]sight.Sighting, 0, len(w.sums))
 	for place, s := range w.sums {
-		r := &s.row
+		r, over := &s.row, over
+		if row, from, all := w.silentSince(place); all {
+			r, over = &row, now-from
+		}
 		all = append(all, sight.Sighting{Place: place, Witness: w.witness, From: w.from, Kind: r.Kind, Span: max(over, 1),
 			Sent: float64(r.Sent), Done: float64(r.Done), Failed: float64(r.Failed),
 			Silent: float64(r.Silent), Refused: float64(r.Refused), Limit: r.Limit, Rating: r.Rating,
@@ -80,6 +83,25 @@
 	return all
 }
 
+// silentSince sums the newest parts in which a place answered nothing, where something failed in them: a place that has
+// fallen is not well for what it did a moment before.
+func (w *Window) silentSince(at sight.Place) (row together.Row, from view.Now, all bool) {
+	some := false
+	for i := len(w.parts) - 1; i >= 0; i-- {
+		r, held := w.parts[i].rows[at]
+		if r.Done+r.Refused > 0 {
+			break
+		}
+		switch from = w.parts[i].from; {
+		case held && some:
+			row = plus(r, row)
+		case held:
+			row, some = r, true
+		}
+	}
+	return row, from, row.Failed > 0
+}
+
 // Left is how many rows were left out, as there were too many places.
 func (w *Window) Left() uint64 { return w.left }
 
--- a/internal/cluster/failover/plan/room.go
+++ b/internal/cluster/failover/plan/room.go
@@ -46,7 +46,7 @@
 	default:
 		return 0, false
 	}
-	if now < p.fullUntil {
+	if now < p.fullUntil && p.Limit == 0 {
 		all = min(all, max(p.full, nearNothing))
 	}
 	return all, true
--- a/internal/cluster/failover/weigh/judge.go
+++ b/internal/cluster/failover/weigh/judge.go
@@ -111,7 +111,7 @@
 	switch {
 	case state == Bad && !agreed:
 		return Weak, max(0.1, r.Successes/max(1, r.Failures+r.Successes)) // some fail wholly, others not
-	case state != Bad && agreed && r.Successes == 0:
+	case state != Bad && r.Bad > 0:
 		// Its zone falls as a whole, of which this is one place.
 		if whole, _ := b.state(p.failures, p.successes); whole == Bad {
 			return Bad, 0
--- a/internal/cluster/failover/weigh/zonal.go
+++ b/internal/cluster/failover/weigh/zonal.go
@@ -44,7 +44,11 @@
 	reports := make([]Report, 0, len(t.order))
 	for _, place := range t.order {
 		r := t.facts[place]
+		fails := slices.ContainsFunc(t.places[place], func(w *tally) bool { return w.bad() && !sick[w.witness] })
 		for _, w := range t.places[place] {
+			if fails && w.well() && w.age > calmFor {
+				continue
+			}
 			if sick[w.witness] {
 				r.Sick++
 				continue
@@ -56,6 +60,10 @@
 	return reports
 }
 
+// calmFor is for how long the word of a witness that is answered counts against others that see a place fail now: it
+// tells of what is well once in two seconds, and then of calls of the two before, and of what fails at once.
+const calmFor = 700 * time.Millisecond
+
 func (r *Report) add(w *tally, b Bounds) {
 	switch {
 	case w.bad():
--- /dev/null
+++ b/lab/cluster/size/cases.go
@@ -0,0 +1,91 @@
+package size
+
+import (
+	"flaxcove/lab/load"
+	"flaxcove/lab/world"
+)
+
+// Case is a world and the time in which something is wrong.
+type Case struct {
+	Name     string
+	Spec     *world.Spec
+	Region   func(zone int) int
+	From, To float64 // seconds; To is when all that was wrong is over
+}
+
+// sized is a world without troubles. Each partner has an endpoint in each of four zones that follow each other, the
+// most that a spec can say: with four zones one in each; with twelve, where zones that lie four apart are a region, one
+// in each region. Two kinds: one tells its limits by endpoint, one only by how it does.
+func sized(senders, zones, partners int, rate, seconds float64) *world.Spec {
+	s := world.Base()
+	s.Name, s.Seconds, s.Senders, s.Zones = "size", seconds, senders, zones
+	s.Network.SameMS, s.Network.CrossMS = world.Pair{1, 3}, world.Pair{30, 40}
+	s.Load = load.Spec{Rate: rate, Zipf: 0.7, SenderSkew: 0}
+	s.Workloads = []world.Workload{
+		{Name: "status", Repeat: "replayable", Share: 3, ContractMS: 800, HardStopMS: 5000, Gain: 1, LateGain: 0.1},
+		{Name: "order", Repeat: "single-use", Share: 1, ContractMS: 3000, HardStopMS: 9000, Gain: 3, LateGain: 0.5},
+	}
+	s.Partners = []world.Kind{
+		{Name: "told", Count: partners / 2, Endpoints: world.Pair{4, 4}, MeanMS: world.Pair{40, 100}, Reports: true,
+			Told: 0.5, Limit: "rate", LimitTimes: world.Pair{1.6, 2.6}, Apart: true, LeastRate: 16},
+		{Name: "untold", Count: partners - partners/2, Endpoints: world.Pair{4, 4}, MeanMS: world.Pair{40, 100},
+			Reports: true, Told: 0.5, Headroom: world.Pair{1.6, 3}, LeastRate: 16},
+	}
+	s.Defaults()
+	return &s
+}
+
+func silent(zone int, at, seconds float64) world.Trouble {
+	return world.Trouble{Kind: "silent", At: at, Seconds: seconds, Part: world.Part{Zone: zone + 1}}
+}
+
+func made(name string, s *world.Spec, region func(int) int, from, to float64, all ...world.Trouble) Case {
+	s.Troubles = all
+	s.Defaults()
+	return Case{Name: name, Spec: s, Region: region, From: from, To: to}
+}
+
+func halves(zone int) int { return zone / 2 } // four zones in two regions
+func rests(zone int) int  { return zone % 4 } // any number in four
+
+func sixty(seconds float64) *world.Spec { return sized(60, 4, 24, 1200, seconds) }
+
+// Small is the case of a zone gone, small enough for every build.
+func Small() Case {
+	return made("zone gone, small", sized(20, 4, 6, 160, 34), halves, 7, 15, silent(0, 7, 8))
+}
+
+// Gone is the case of issue 36: zone 0 of four hangs for twelve seconds.
+func Gone() Case { return made("zone gone", sixty(45), halves, 10, 22, silent(0, 10, 12)) }
+
+// Cases are all others with sixty senders.
+func Cases() []Case {
+	failing := func(zone int, at, seconds float64) world.Trouble {
+		return world.Trouble{Kind: "failing", At: at, Seconds: seconds, Amount: 0.95, Part: world.Part{Zone: zone + 1}}
+	}
+	weak := func(zone int) world.Trouble {
+		return world.Trouble{Kind: "throttled", At: 8, Seconds: 20, Amount: 0.6, Part: world.Part{Zone: zone + 1}}
+	}
+	half := silent(0, 10, 12)
+	for i := 0; i < 24; i += 2 {
+		half.Part.Partners = append(half.Part.Partners, i)
+	}
+	var flaps []world.Trouble
+	for at := 10.0; at < 70; at += 4 {
+		flaps = append(flaps, silent(0, at, 2))
+	}
+	return []Case{
+		made("zone fails all calls", sixty(45), halves, 10, 22, failing(0, 10, 12)),
+		made("region gone, one zone weak", sixty(50), halves, 8, 28, silent(0, 10, 12), silent(1, 10, 12), weak(2)),
+		made("half a zone gone", sixty(45), halves, 10, 22, half),
+		made("two zones one after the other", sixty(60), halves, 10, 34, silent(0, 10, 12), silent(1, 22, 12)),
+		made("zone flaps each 2 s for a minute", sixty(95), halves, 10, 70, flaps...),
+		made("all zones gone", sixty(45), halves, 10, 18, silent(0, 10, 8), silent(1, 10, 8), silent(2, 10, 8), silent(3, 10, 8)),
+		made("what was moved to fails as well", sixty(50), halves, 10, 26, silent(0, 10, 16), silent(1, 15, 7)),
+	}
+}
+
+// Large is a zone gone among so many senders in twelve zones of four regions, short.
+func Large(senders int) Case {
+	return made("zone gone, 12 zones", sized(senders, 12, 60, 5*float64(senders), 32), rests, 8, 16, silent(0, 8, 8))
+}
--- /dev/null
+++ b/lab/cluster/size/fleet.go
@@ -0,0 +1,190 @@
+// Package size plays many senders and what stands between them in simulated time.
+//
+// It owns the part between lab/sim's senders: digests, reports up the tree, the leader's planner, plans down the tree,
+// all by the pure modules of internal/cluster and with drawn times on each way, beside the same senders each alone and
+// an oracle. sender.go counts what a sender hands over, process.go is one process, cases.go what goes wrong, measure.go
+// what is read off a run, table.go how it is shown. It must never look at a clock, start a goroutine or hang on the
+// order of a map: one seed replays a whole run. What a decision is belongs to the modules; none is made here.
+package size
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"hash/fnv"
+	"time"
+
+	"flaxcove/choice"
+	"flaxcove/internal/cluster/failover/apply"
+	"flaxcove/internal/cluster/failover/plan"
+	"flaxcove/internal/cluster/failover/weigh"
+	"flaxcove/internal/cluster/tree"
+	"flaxcove/internal/cluster/view"
+	"flaxcove/lab/world"
+)
+
+const (
+	leastHop  = 50 * time.Millisecond // one way between two processes, at the least and at the most
+	mostHop   = 250 * time.Millisecond
+	consensus = 100 * time.Millisecond
+	unit      = 100 * time.Microsecond // of choice.Time
+)
+
+func zoneName(no int) view.Zone { return view.Zone(fmt.Sprintf("z%02d", no)) }
+
+// fleet is all processes of a run.
+type fleet struct {
+	w       *world.World
+	numbers map[view.Zone]choice.ZoneNo
+	regions map[view.Zone]view.Region
+	procs   map[view.Name]*process
+	order   []*process
+	tree    *tree.Tree
+	set     plan.Settings
+	lead    *leader
+	force   plan.InForce
+	drawn   uint32
+	weighs  bool // bytes are counted
+	span    time.Duration
+	prompt  bool
+
+	traffic map[view.Name]*Traffic
+	epochs  []epoch
+	hash    uint64
+}
+
+// Traffic is what one process sent and was sent.
+type Traffic struct{ Out, In, Bytes int }
+
+// epoch is one plan that was decided, and when it was in force where.
+type epoch struct {
+	at      view.Now
+	plan    plan.Plan
+	reached map[view.Name]view.Now
+}
+
+func (f *fleet) now() view.Now { return view.Now(f.w.Now()) * unit }
+
+func (f *fleet) after(in time.Duration, do func()) { f.w.After(max(1, choice.Time(in/unit)), do) }
+
+// spread draws when a process's turns fall within a turn.
+func (f *fleet) spread(name string) time.Duration {
+	return time.Duration(crc32.ChecksumIEEE([]byte(name))%5000) * unit
+}
+
+// send carries a message; each takes its own time, so that they may pass each other.
+func (f *fleet) send(from, to *process, body any, do func()) {
+	if from == to {
+		do()
+		return
+	}
+	f.drawn++
+	sum := crc32.ChecksumIEEE(fmt.Appendf(nil, "%s %s %d", from.name, to.name, f.drawn))
+	f.traffic[from.name].Out++
+	f.traffic[to.name].In++
+	if f.weighs {
+		f.traffic[from.name].Bytes += bytesOf(body)
+	}
+	f.after(leastHop+(mostHop-leastHop)*time.Duration(sum%1000)/1000, do)
+}
+
+// begin derives the tree once all senders are here and lets all processes start.
+func (f *fleet) begin(o *Options) {
+	var members []view.Member
+	for _, p := range f.order {
+		members = append(members, view.Member{Life: view.Life{Name: p.name, Incarnation: 1}, Zone: p.zone,
+			Region: f.regions[p.zone], Size: view.Large})
+	}
+	f.tree = tree.Derive(view.Make("", 1, members))
+	first, next := f.order[o.Leader], f.order[(o.Leader+1)%len(f.order)]
+	f.lead = newLeader(f, first)
+	for _, p := range f.order {
+		p.start()
+	}
+	if o.LeaderDies > 0 {
+		f.w.At(seconds(o.LeaderDies), func() {
+			f.lead = &leader{f: f}
+			f.after(o.LeaderGone, func() {
+				f.lead = newLeader(f, next)
+				next.news()
+			})
+		})
+	}
+}
+
+func (f *fleet) reached(p *process, in *plan.Plan) {
+	if i := int(in.Epoch) - 1; i < len(f.epochs) {
+		f.epochs[i].reached[p.name] = f.now()
+	}
+}
+
+// leader is the council's: the planner and what came up to it. at is nil while there is none.
+type leader struct {
+	f       *fleet
+	at      *process
+	all     *weigh.Board
+	planner *plan.Planner
+	asking  bool
+}
+
+func newLeader(f *fleet, at *process) *leader {
+	l := &leader{f: f, at: at, all: weigh.NewBoard(weigh.Usual()), planner: plan.New(f.set)}
+	l.planner.Applied(at.now(), f.force.Plan())
+	return l
+}
+
+func (l *leader) turn(now view.Now, weighs bool) {
+	l.renew(now)
+	if !weighs {
+		l.at.news()
+		return
+	}
+	l.all.Put(now, l.at.passing.Fresh(now))
+	l.planner.Members(l.f.regions)
+	l.planner.Judged(now, weigh.Judge(l.all.Fresh(now), weigh.Usual()))
+	next, some := l.planner.Step(now)
+	if !some || l.asking {
+		return
+	}
+	l.asking = true
+	l.f.after(consensus, func() { l.decide(next) })
+}
+
+func (l *leader) renew(now view.Now) {
+	in := l.f.force.Plan()
+	if in.Epoch == 0 {
+		return
+	}
+	if l.planner.Epoch() < in.Epoch {
+		l.planner.Applied(now, in)
+	}
+	heard := apply.Heard{Epoch: in.Epoch, Plan: &in}
+	if held, _ := l.at.holder.Plan(now); held != nil && held.Epoch == in.Epoch {
+		heard.Plan = nil
+	}
+	if _, err := l.at.holder.Hear(now, heard); err != nil {
+		panic(err) // it was checked before it was decided
+	}
+}
+
+func (l *leader) decide(next plan.Plan) {
+	l.asking = false
+	if l.f.lead != l {
+		return // it died meanwhile
+	}
+	body, err := json.Marshal(next)
+	if err != nil {
+		panic(err) // plain data
+	}
+	_, err = l.f.force.Apply(uint64(next.Epoch), l.f.now(), plan.Kind, body)
+	l.planner.Applied(l.at.now(), l.f.force.Plan())
+	if err == nil {
+		l.f.epochs = append(l.f.epochs, epoch{l.f.now(), l.f.force.Plan(), map[view.Name]view.Now{}})
+		h := fnv.New64a()
+		fmt.Fprintf(h, "%d %v %s", l.f.hash, l.f.now(), body)
+		l.f.hash = h.Sum64()
+	}
+	l.at.news()
+}
+
+func seconds(s float64) choice.Time { return choice.Time(s * float64(choice.Second)) }
--- /dev/null
+++ b/lab/cluster/size/measure.go
@@ -0,0 +1,257 @@
+package size
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"time"
+
+	"flaxcove/choice"
+	"flaxcove/internal/cluster/failover/plan"
+	"flaxcove/internal/cluster/view"
+	"flaxcove/lab/referee"
+	"flaxcove/lab/world"
+)
+
+const (
+	leavesLeast = 0.02 // issue 36: the share that may leave while all is well
+	warmUp      = 4    // seconds that count for nothing: no plan, nothing learnt
+	smooth      = 2    // seconds over which the share that leaves is taken when its return is looked for
+	overFrom    = 1.1  // issue 36: times what a receiver can take
+	judgedFrom  = 50.0 // calls a second of a place that is judged by itself: with fewer, chance alone exceeds overFrom
+)
+
+// Figures are what is read off a run. Times are seconds.
+type Figures struct {
+	*referee.Verdict
+	Gain                  float64   // delivered of what was asked while something was wrong
+	Before, During, After float64   // share of calls that leave their home; After: of the last five seconds
+	Back                  float64   // from the end of the trouble until no more leave than before; -1 for never
+	ZoneOver              Over      // of all endpoints of a zone together, while calls are moved there
+	PlaceOver             Over      // the same for the endpoints of one destination in a zone, of those with many calls
+	Plans                 int       // after the first, which moves nothing
+	PlansAMinute          int       // in the busiest minute
+	InForce               float64   // from the fall until a plan that moves something is in force at 95%; -1 for never
+	Messages, BytesS      float64   // sent by a process a second, on average
+	MostMessages          float64   // sent and received by the busiest process a second
+	Hash                  uint64    // of all that was decided, and when
+	Leaves                []float64 // share of calls that left their home, by second
+
+	gains  []float64
+	epochs []epoch
+}
+
+// Over is how far and for how long a receiver was sent more than it can take.
+type Over struct {
+	Most    float64 // calls a second as times of that
+	Seconds int     // over overFrom, one after the other
+}
+
+type gains struct{ bySecond []float64 }
+
+func (g *gains) delivered(asked choice.Time, gain float64) {
+	add(&g.bySecond, asked, gain)
+}
+
+func add(to *[]float64, at choice.Time, v float64) {
+	second := int(max(0, at) / choice.Second)
+	for len(*to) <= second {
+		*to = append(*to, 0)
+	}
+	(*to)[second] += v
+}
+
+func at(of []float64, second int) float64 {
+	if second < 0 || second >= len(of) {
+		return 0
+	}
+	return of[second]
+}
+
+type placeNo struct {
+	partner world.PartnerNo
+	zone    int
+}
+
+type measure struct {
+	o     *Options
+	w     *world.World
+	gains gains
+	calls []float64
+	away  []float64
+	zones map[int]*received
+	place map[placeNo]*received
+}
+
+type received struct{ all, moved []float64 }
+
+func newMeasure(o *Options) *measure {
+	return &measure{o: o, zones: map[int]*received{}, place: map[placeNo]*received{}}
+}
+
+// outcome sees each call as its endpoint ended it.
+func (m *measure) outcome(now choice.Time, c *world.Call, _ int) {
+	e := c.Conn.Endpoint
+	if c.Probe {
+		return
+	}
+	from := m.w.Zone(c.Conn.Sender)
+	moved := 0.0
+	if !m.home(from, e) {
+		moved = 1
+	}
+	add(&m.calls, now, 1)
+	add(&m.away, now, moved)
+	k := placeNo{e.Partner.No, e.Zone}
+	if m.zones[e.Zone] == nil {
+		m.zones[e.Zone] = &received{}
+	}
+	if m.place[k] == nil {
+		m.place[k] = &received{}
+	}
+	for _, r := range []*received{m.zones[e.Zone], m.place[k]} {
+		add(&r.all, now, 1)
+		add(&r.moved, now, moved)
+	}
+}
+
+// home tells whether an endpoint is where a zone's notices go while all is well: the zone, or else its region, or else
+// anywhere.
+func (m *measure) home(from int, e *world.Endpoint) bool {
+	near, region := false, false
+	for _, other := range e.Partner.Endpoints {
+		near = near || other.Zone == from
+		region = region || m.o.Region(other.Zone) == m.o.Region(from)
+	}
+	switch {
+	case near:
+		return e.Zone == from
+	case region:
+		return m.o.Region(e.Zone) == m.o.Region(from)
+	}
+	return true
+}
+
+func (m *measure) share(from, to int) float64 {
+	calls, away := 0.0, 0.0
+	for s := from; s < to; s++ {
+		calls, away = calls+at(m.calls, s), away+at(m.away, s)
+	}
+	if calls == 0 {
+		return 0
+	}
+	return away / calls
+}
+
+func (m *measure) figures(v *referee.Verdict, f *fleet) *Figures {
+	from, to, end := int(m.o.From), int(m.o.To), int(m.o.Spec.Seconds)
+	out := &Figures{Verdict: v, Before: m.share(warmUp, from), During: m.share(from, to), After: m.share(end-5, end), Back: -1,
+		InForce: -1, Hash: f.hash, epochs: f.epochs, gains: m.gains.bySecond}
+	for s := from; s < to; s++ {
+		out.Gain += at(m.gains.bySecond, s)
+	}
+	for s := range end {
+		out.Leaves = append(out.Leaves, m.share(s, s+1))
+	}
+	most := max(out.Before, leavesLeast)
+	for s := end - smooth; s >= to && m.share(s, s+smooth) <= most; s-- {
+		out.Back = float64(s) - m.o.To
+	}
+	for z, r := range m.zones {
+		out.ZoneOver.with(r, m.bound(func(e *world.Endpoint) bool { return e.Zone == z }), end)
+	}
+	for k, r := range m.place {
+		bound := m.bound(func(e *world.Endpoint) bool { return e.Zone == k.zone && e.Partner.No == k.partner })
+		if bound >= judgedFrom {
+			out.PlaceOver.with(r, bound, end)
+		}
+	}
+	m.plans(out, f)
+	m.traffic(out, f)
+	return out
+}
+
+// bound is what endpoints can take a second, by warm endpoints and what a trouble leaves of a limit.
+func (m *measure) bound(of func(*world.Endpoint) bool) (sum float64) {
+	for _, e := range m.w.Endpoints {
+		if of(e) {
+			sum += e.Bound()
+		}
+	}
+	return sum
+}
+
+// with takes in a receiver's seconds. What its own zone sends it is no plan's doing: only seconds in which a tenth or
+// more was moved there count.
+func (o *Over) with(r *received, bound float64, end int) {
+	run := 0
+	for s := range end {
+		over := at(r.all, s) / bound
+		if at(r.moved, s) < 0.1*at(r.all, s) {
+			run = 0
+			continue
+		}
+		o.Most = math.Max(o.Most, over)
+		if run++; over <= overFrom {
+			run = 0
+		}
+		o.Seconds = max(o.Seconds, run)
+	}
+}
+
+func (m *measure) plans(out *Figures, f *fleet) {
+	out.Plans = max(0, len(f.epochs)-1)
+	for i := range f.epochs {
+		n := 0
+		for _, e := range f.epochs[max(1, i):] {
+			if e.at-f.epochs[i].at < time.Minute {
+				n++
+			}
+		}
+		out.PlansAMinute = max(out.PlansAMinute, n)
+	}
+	for _, e := range f.epochs {
+		moves := slices.ContainsFunc(e.plan.Routes, func(r plan.Route) bool { return r.Phase == plan.Away })
+		if fell := view.Now(m.o.From * float64(time.Second)); e.at < fell || !moves {
+			continue
+		} else if need := int(math.Ceil(0.95 * float64(len(f.order)))); len(e.reached) >= need {
+			var all []view.Now
+			for _, when := range e.reached {
+				all = append(all, when)
+			}
+			slices.Sort(all)
+			out.InForce = (all[need-1] - fell).Seconds()
+			return
+		}
+	}
+}
+
+func (m *measure) traffic(out *Figures, f *fleet) {
+	long := m.o.Spec.Seconds
+	sum := Traffic{}
+	for _, p := range f.order {
+		t := f.traffic[p.name]
+		sum.Out, sum.In, sum.Bytes = sum.Out+t.Out, sum.In+t.In, sum.Bytes+t.Bytes
+		out.MostMessages = max(out.MostMessages, float64(t.Out+t.In)/long)
+	}
+	n := max(1, len(f.order))
+	out.Messages, out.BytesS = float64(sum.Out)/long/float64(n), float64(sum.Bytes)/long/float64(n)
+}
+
+// print tells what was decided when, and what left its home each second.
+func (f *Figures) print(to io.Writer) {
+	for _, e := range f.epochs {
+		by := map[plan.Phase]int{}
+		moved := map[view.Zone]float64{}
+		for _, r := range e.plan.Routes {
+			by[r.Phase]++
+			moved[r.From] += 1 - r.Near
+		}
+		fmt.Fprintf(to, "%6.2f epoch %d %v %v\n", e.at.Seconds(), e.plan.Epoch, by, moved)
+	}
+	for s, v := range f.Leaves {
+		fmt.Fprintf(to, "%d:%.1f%% ", s, 100*v)
+	}
+	fmt.Fprintln(to)
+}
--- /dev/null
+++ b/lab/cluster/size/play.go
@@ -0,0 +1,86 @@
+package size
+
+import (
+	"fmt"
+	"hash/crc32"
+	"time"
+
+	"flaxcove/choice"
+	"flaxcove/internal/cluster/failover/plan"
+	"flaxcove/internal/cluster/view"
+	"flaxcove/lab/baseline"
+	"flaxcove/lab/sim"
+	"flaxcove/lab/world"
+)
+
+// Mode is who decides.
+type Mode string
+
+const (
+	Alone    Mode = "alone"    // choice in every sender, and nothing between them
+	Together Mode = "together" // the same with the cluster
+	Oracle   Mode = "oracle"   // sees the true state of all endpoints
+)
+
+// Options are what a run is played with.
+type Options struct {
+	Case
+	Seed       uint64
+	Mode       Mode
+	Leader     int           // the process that leads at first, by number; i stands in zone i modulo the zones
+	LeaderDies float64       // seconds; 0 for never
+	LeaderGone time.Duration // until the next one leads, which knows nothing but the plan in force
+	Bytes      bool          // messages' bodies are counted
+	Escape     bool          // under trial: without a plan's word, past a home that a sender sees fail
+	Prompt     bool          // under trial: a zone's head weighs at once what tells of failures
+	Span       time.Duration // under trial: of digest.Window; 0 for its own
+}
+
+// Play plays a run and reads the figures off it.
+func Play(o Options) (*Figures, error) {
+	m := newMeasure(&o)
+	f := &fleet{numbers: map[view.Zone]choice.ZoneNo{}, regions: map[view.Zone]view.Region{}, procs: map[view.Name]*process{},
+		traffic: map[view.Name]*Traffic{}, weighs: o.Bytes, set: planned(&o)}
+	for z := range o.Spec.Zones {
+		f.numbers[zoneName(z)] = choice.ZoneNo(z)
+		f.regions[zoneName(z)] = view.Region(fmt.Sprintf("r%d", o.Region(z)))
+	}
+	decide := sim.Choice
+	if o.Mode == Oracle {
+		decide = baseline.Make("all_seen")
+	}
+	started := 0
+	policy := func(h choice.Host, id choice.SenderID, seed int64, set choice.Settings, w *world.World) sim.Policy {
+		c := newCounted(h, set, &m.gains)
+		c.escape = o.Escape
+		c.policy = decide(c, id, seed, set, w)
+		f.w, m.w = w, w
+		if started++; o.Mode != Together || started > o.Spec.Senders {
+			return c // no case of these kills a sender
+		}
+		name := view.Name(fmt.Sprintf("p%04d", started-1))
+		c.proc = &process{f: f, name: name, zone: zoneName(int(set.Zone)), c: c,
+			began: time.Duration(crc32.ChecksumIEEE([]byte(name))%7200) * time.Second}
+		f.procs[name], f.traffic[name] = c.proc, &Traffic{}
+		f.order = append(f.order, c.proc)
+		if started == o.Spec.Senders {
+			f.span, f.prompt = o.Span, o.Prompt
+			w.After(1, func() { f.begin(&o) })
+		}
+		return c
+	}
+	v, err := sim.Run(sim.Options{Spec: o.Spec, Seed: o.Seed, Policy: policy, Outcome: m.outcome})
+	if err != nil {
+		return nil, err
+	}
+	return m.figures(v, f), nil
+}
+
+// planned are the planner's settings as internal/cluster/uses.go fills them in.
+func planned(o *Options) plan.Settings {
+	set := plan.Usual()
+	set.RatingIsRate = o.Spec.Sender.Rating == "nominal"
+	k := &o.Spec.Partners[0]
+	set.Cold, set.ColdFrom, set.FallMultiple = time.Duration(k.ColdS*float64(time.Second)), k.ColdFrom, o.Spec.Rules.FallMultiple
+	return set
+}
--- /dev/null
+++ b/lab/cluster/size/sender.go
@@ -0,0 +1,266 @@
+package size
+
+import (
+	"cmp"
+	"slices"
+
+	"flaxcove/choice"
+	"flaxcove/internal/cluster/failover/apply"
+	"flaxcove/internal/cluster/sight"
+	"flaxcove/internal/cluster/view"
+	"flaxcove/internal/sender/together"
+	"flaxcove/lab/sim"
+)
+
+// wholeEvery is internal/sender's: in so many digests each destination is told once, whatever came of it.
+const wholeEvery = 10
+
+// counted is a sender's policy between the engine and what decides: it counts what internal/sender's digest counts,
+// and bars what its process's guide bars. What decides may be any policy; one that plays alone has no process.
+type counted struct {
+	choice.Host
+	policy   sim.Policy
+	zone     choice.ZoneNo
+	set      choice.Settings
+	shortest choice.Time // contract time
+	gains    *gains
+	proc     *process // nil where each is alone
+
+	open    map[choice.NoticeID]choice.Notice
+	entries map[choice.EndpointID]*entry
+	byDest  map[choice.DestinationID][]*entry
+	escape  bool                          // where no plan says otherwise, past a home that this sender sees fail
+	seen    map[sight.Place]*together.Row // since the last digest
+	listed  map[sight.Place]*listing
+	changed bool
+	digests uint64
+}
+
+type entry struct {
+	choice.Entry
+	limit   float64
+	limitAt choice.Time
+	failed  choice.Time // when a call last had no answer; 0 once one has
+}
+
+type listing struct {
+	kind   choice.KindNo
+	ends   []*entry // by id
+	rating float64
+}
+
+func newCounted(h choice.Host, set choice.Settings, g *gains) *counted {
+	c := &counted{Host: h, zone: set.Zone, set: set, gains: g, open: map[choice.NoticeID]choice.Notice{},
+		entries: map[choice.EndpointID]*entry{}, byDest: map[choice.DestinationID][]*entry{}, seen: map[sight.Place]*together.Row{}, listed: map[sight.Place]*listing{}}
+	for i, w := range set.Workloads {
+		if i == 0 || w.ContractTime < c.shortest {
+			c.shortest = w.ContractTime
+		}
+	}
+	return c
+}
+
+// What follows is choice.Host, as far as it is not the engine's.
+
+// Allowed asks the guide that is in force at this process.
+func (c *counted) Allowed(n choice.NoticeID, e choice.EndpointID) bool {
+	if c.proc == nil {
+		return true
+	}
+	g, en := c.proc.inForce(), c.entries[e]
+	return g == nil || en == nil || g.Allowed(n, en.Destination, en.Zone) || c.escape && c.asideHome(g, n, en)
+}
+
+// asideHome tells whether all that a guide keeps a notice to without a plan's word is seen to fail by this sender.
+func (c *counted) asideHome(g *apply.Guide, n choice.NoticeID, en *entry) bool {
+	if g.Firm(en.Destination) {
+		return false
+	}
+	for _, other := range c.byDest[en.Destination] {
+		if other.Stage == choice.Ready && (other.failed == 0 || c.Now()-other.failed > 2*c.shortest) && g.Allowed(n, other.Destination, other.Zone) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *counted) Shed(id choice.NoticeID, comeBackIn choice.Time) {
+	delete(c.open, id)
+	c.Host.Shed(id, comeBackIn)
+}
+
+func (c *counted) GiveUp(id choice.NoticeID) {
+	delete(c.open, id)
+	c.Host.GiveUp(id)
+}
+
+// And what follows is sim.Policy.
+
+func (c *counted) ListNews(entries []choice.Entry, whole bool) {
+	if whole {
+		for _, e := range c.entries {
+			e.Stage = choice.Gone
+		}
+	}
+	for _, e := range entries {
+		if c.entries[e.Endpoint] == nil {
+			c.entries[e.Endpoint] = &entry{}
+			c.byDest[e.Destination] = append(c.byDest[e.Destination], c.entries[e.Endpoint])
+		}
+		c.entries[e.Endpoint].Entry = e
+	}
+	c.changed = true
+	c.policy.ListNews(entries, whole)
+}
+
+func (c *counted) Taken(n choice.Notice) {
+	c.open[n.ID] = n
+	c.policy.Taken(n)
+}
+
+func (c *counted) Withdrawn(id choice.NoticeID) {
+	delete(c.open, id)
+	c.policy.Withdrawn(id)
+}
+
+func (c *counted) Ended(o choice.Outcome) {
+	n := c.open[o.Notice]
+	if o.Final {
+		delete(c.open, o.Notice)
+	}
+	if o.Final && o.Result == choice.Done {
+		w := &c.set.Workloads[n.Workload]
+		asked := n.HardStop - w.HardStop
+		c.gains.delivered(asked, w.Gain*w.Fade(c.Now()-asked, c.set.Halving))
+	}
+	if e := c.entries[o.Endpoint]; e != nil && c.proc != nil {
+		c.saw(e, o)
+	}
+	c.policy.Ended(o)
+}
+
+func (c *counted) Probed(e choice.EndpointID, r choice.Result) { c.policy.Probed(e, r) }
+func (c *counted) TimerDue(id choice.TimerID)                  { c.policy.TimerDue(id) }
+func (c *counted) TurnEnd()                                    { c.policy.TurnEnd() }
+func (c *counted) Open(e choice.EndpointID, notices ...choice.NoticeID) bool {
+	return c.policy.Open(e, notices...)
+}
+
+// saw counts how a call ended as internal/sender does. Calls carry one notice each here, or it would count too many.
+func (c *counted) saw(e *entry, o choice.Outcome) {
+	if o.Report.Known {
+		e.limit, e.limitAt = o.Report.Limit, c.Now()
+	}
+	switch o.Result {
+	case choice.TimedOut, choice.ConnectFailed, choice.Reset:
+		e.failed = c.Now()
+	case choice.Done, choice.Full, choice.Errored, choice.Spoilt:
+		e.failed = 0
+	}
+	r := c.row(placeOf(e))
+	r.Sent++
+	switch o.Result {
+	case choice.Done:
+		r.Done++
+	case choice.Full:
+		r.Refused++
+	case choice.Errored, choice.Reset, choice.Spoilt:
+		r.Failed++
+	case choice.ConnectFailed:
+		r.Failed, r.Silent = r.Failed+1, r.Silent+1
+	case choice.TimedOut:
+		if o.Took >= c.shortest {
+			r.Failed, r.Silent = r.Failed+1, r.Silent+1
+		}
+	}
+}
+
+func placeOf(e *entry) sight.Place {
+	return sight.Place{Destination: e.Destination, Zone: zoneName(int(e.Zone))}
+}
+
+func (c *counted) row(at sight.Place) *together.Row {
+	r := c.seen[at]
+	if r == nil {
+		r = &together.Row{Destination: at.Destination, Zone: string(at.Zone)}
+		c.seen[at] = r
+	}
+	return r
+}
+
+// digest hands over what was counted, and begins anew. Notices that wait are not told: nothing of failover reads them.
+func (c *counted) digest() together.Digest {
+	if c.changed {
+		c.readList()
+	}
+	c.digests++
+	for at := range c.listed {
+		if (uint64(at.Destination)+c.digests)%wholeEvery == 0 {
+			c.row(at)
+		}
+	}
+	var d together.Digest
+	for at, r := range c.seen {
+		if l := c.listed[at]; l != nil {
+			r.Kind, r.Endpoints, r.Rating, r.Limit = l.kind, len(l.ends), l.rating, l.limit(c.set.Kinds)
+		}
+		d.Rows = append(d.Rows, *r)
+	}
+	slices.SortFunc(d.Rows, func(a, b together.Row) int {
+		return cmp.Or(cmp.Compare(a.Destination, b.Destination), cmp.Compare(a.Zone, b.Zone))
+	})
+	clear(c.seen)
+	return d
+}
+
+func (c *counted) readList() {
+	c.changed = false
+	old := c.listed
+	c.listed = map[sight.Place]*listing{}
+	for _, e := range c.entries {
+		if e.Stage != choice.Ready {
+			continue
+		}
+		l := c.listed[placeOf(e)]
+		if l == nil {
+			l = &listing{}
+			c.listed[placeOf(e)] = l
+		}
+		l.kind, l.ends, l.rating = e.Kind, append(l.ends, e), l.rating+e.Rating
+	}
+	for at, l := range c.listed {
+		slices.SortFunc(l.ends, func(a, b *entry) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+		if was := old[at]; was == nil || len(was.ends) != len(l.ends) {
+			c.row(at)
+		}
+	}
+	for at := range old {
+		if c.listed[at] == nil {
+			c.row(at)
+		}
+	}
+}
+
+func (l *listing) limit(kinds []choice.Kind) (limit float64) {
+	heard := choice.Time(-1)
+	for _, e := range l.ends {
+		if kinds[l.kind].Apart {
+			limit += e.limit
+		} else if e.limitAt > heard {
+			heard, limit = e.limitAt, e.limit
+		}
+	}
+	return limit
+}
+
+// listing of a process, as the guide is compiled with it.
+func (c *counted) local(numbers map[view.Zone]choice.ZoneNo) apply.Local {
+	l := apply.Local{Zone: zoneName(int(c.zone)), Numbers: numbers, Listed: map[choice.DestinationID][]choice.ZoneNo{}}
+	for at := range c.listed {
+		l.Listed[at.Destination] = append(l.Listed[at.Destination], numbers[at.Zone])
+	}
+	for _, zones := range l.Listed {
+		slices.Sort(zones)
+	}
+	return l
+}
