--- a/internal/cluster/failover/plan/planner.go
+++ b/internal/cluster/failover/plan/planner.go
@@ -176,8 +176,8 @@
 	if p.pending != nil && now-p.madeAt < pendingFor || now-p.madeAt < p.set.Gap || len(p.regions) == 0 {
 		return Plan{}, false
 	}
-	routes, changed := p.share(now)
-	if !changed && !p.regioned && p.inForce.Epoch > 0 {
+	routes, changed, urgent := p.share(now)
+	if !changed && !p.regioned && p.inForce.Epoch > 0 || !urgent && !p.regioned && now-p.madeAt < p.set.CalmGap {
 		return Plan{}, false
 	}
 	next := Plan{Epoch: p.inForce.Epoch + 1, Hold: p.set.Hold, Regions: maps.Clone(p.regions), Routes: routes}
--- a/internal/cluster/failover/plan/settings.go
+++ b/internal/cluster/failover/plan/settings.go
@@ -20,6 +20,7 @@
 	MostTest     float64
 	Coarse       float64       // shares that differ by less are not worth a plan
 	Gap          time.Duration // between two plans
+	CalmGap      time.Duration // before one in which no route turns or steps, and none leaves what fails: shares alone
 	RoomPart     float64       // of what a place can do: as far as it is filled
 	SeenMultiple float64       // what a place may do that refused nothing, where only what was done is known
 	RatingIsRate bool          // the list's ratings are calls a second
@@ -33,6 +34,6 @@
 	return Settings{Hold: 10 * time.Second, Steps: []float64{0.05, 0.15, 0.4, 1}, StepFor: 1500 * time.Millisecond,
 		Calm: 3 * time.Second, MostCalm: 6 * time.Second, LongestCalm: time.Minute, OutagePart: 0.25,
 		TurnsFor: 2 * time.Minute, Blind: 12 * time.Second, TestRate: 2, LeastTest: 0.01, MostTest: 0.05,
-		Coarse: 0.1, Gap: time.Second,
+		Coarse: 0.1, Gap: time.Second, CalmGap: 4 * time.Second,
 		RoomPart: 0.95, SeenMultiple: 2, ColdFrom: 0.2, Cold: 10 * time.Second, FallMultiple: 2}
 }
--- a/internal/cluster/failover/plan/share.go
+++ b/internal/cluster/failover/plan/share.go
@@ -68,21 +68,20 @@
 
 // share works out all routes that are not steady. Those in force are kept to the letter while they still fit, so that
 // a rate that wanders makes no plan; changed tells that some are new or gone.
-func (p *Planner) share(now view.Now) ([]Route, bool) {
+func (p *Planner) share(now view.Now) (routes []Route, changed, urgent bool) {
 	if !p.abroad() {
-		return nil, false
+		return nil, false, false
 	}
 	left := p.rooms(now)
 	keys := slices.SortedFunc(maps.Keys(p.routes), key.compare)
 	kept, anew := p.keep(now, keys, left)
-	changed := false
-	routes := make([]Route, 0, len(keys))
+	routes = make([]Route, 0, len(keys))
 	for _, k := range keys {
 		if kept[k] {
 			p.take(k, p.routes[k].out, left)
 			routes = append(routes, p.routes[k].out)
 		} else if p.routes[k].out.Phase != "" && p.routes[k].phase == "" {
-			changed = true
+			changed, urgent = true, true
 		}
 	}
 	made := map[key]*Route{}
@@ -103,13 +102,22 @@
 	for _, k := range anew {
 		o := made[k]
 		p.finish(k, o)
-		if !same(*o, p.routes[k].out) {
+		if out := p.routes[k].out; !same(*o, out) {
 			changed = true
+			urgent = urgent || o.Phase != out.Phase || o.Step != out.Step || p.sendsToBad(k, out)
 		}
 		routes = append(routes, *o)
 	}
 	slices.SortFunc(routes, func(a, b Route) int { return a.key().compare(b.key()) })
-	return routes, changed
+	return routes, changed, urgent
+}
+
+// sendsToBad tells whether a route sends to where it is bad.
+func (p *Planner) sendsToBad(k key, o Route) bool {
+	return slices.ContainsFunc(o.Shares, func(s Share) bool {
+		state, _ := p.state(k.d, s.Zone, k.from)
+		return s.Part > 0 && state == weigh.Bad
+	})
 }
 
 // abroad tells whether any route is not steady, or is still so in the plan.
@@ -159,10 +167,8 @@
 
 // stands tells whether what is in force can stay: no receiver has failed, and nothing that had to stay could now go.
 func (p *Planner) stands(now view.Now, k key, r *route, left rooms) bool {
-	for _, s := range r.out.Shares {
-		if state, _ := p.state(k.d, s.Zone, k.from); s.Part > 0 && state == weigh.Bad {
-			return false
-		}
+	if p.sendsToBad(k, r.out) {
+		return false
 	}
 	stays := r.out.Near - r.near
 	if r.out.Phase == Free {
