--- a/lab/cluster/play/play.go
+++ b/lab/cluster/play/play.go
@@ -40,6 +40,9 @@
 	Saw func(now choice.Time, all []*status.Status)
 }
 
+// smallHold is how many of the four destinations a small process holds what it learnt of.
+const smallHold = 2
+
 // Result is what became of it.
 type Result struct {
 	*live.Result
@@ -66,6 +69,9 @@
 func Run(ctx context.Context, o Options) (*Result, error) {
 	if o.Uses == nil {
 		o.Uses = []string{"failover", "purges"}
+		if len(o.Schedule.Small) > 0 {
+			o.Uses = append(o.Uses, "popularity")
+		}
 	}
 	p := &player{o: o, s: o.Schedule, judge: judge.New(), kinds: map[choice.NoticeID]kind{}, emptied: map[world.SenderNo]choice.Time{}}
 	spec := worldOf(p.s)
@@ -153,6 +159,9 @@
 
 func (p *player) openMesh() (err error) {
 	all := mesh.Options{Cluster: "lab", Uses: p.o.Uses}
+	if len(p.s.Small) > 0 {
+		all.Bounds = map[string]int{"small_destinations": smallHold}
+	}
 	for i := range p.s.Processes {
 		zone := i % p.s.Zones
 		all.Processes = append(all.Processes, mesh.Process{Name: fmt.Sprintf("s%d", i), Zone: fmt.Sprintf("z%d", zone),
--- a/lab/cluster/play/play_test.go
+++ b/lab/cluster/play/play_test.go
@@ -17,6 +17,7 @@
 
 	"flaxcove/choice"
 	"flaxcove/internal/cluster/status"
+	"flaxcove/internal/cluster/view"
 	"flaxcove/lab/cluster/schedule"
 )
 
@@ -142,6 +143,33 @@
 		Purges: []schedule.Purge{{At: 5, By: 3, Subject: "notices", Destination: 1}}})
 }
 
+// Small processes let go of what they may not hold, whatever befalls the region's head; no rule is broken by it.
+func TestSmall(t *testing.T) {
+	t.Parallel()
+	s := &schedule.Schedule{Name: "small-ones", Seed: 31, Processes: 6, Zones: 3, Regions: 1, Seconds: 20, Rate: 60, Small: []int{4, 5},
+		Faults: []schedule.Fault{{Kind: "kill", At: 8, Seconds: 1, From: []int{0}}, {Kind: "cut", At: 12, Seconds: 3, From: []int{4}}},
+		Purges: []schedule.Purge{{At: 6, By: 4, Subject: "learnt", Destination: 1}}}
+	most := map[view.Name]uint64{}
+	_, wrong := run(t, s, func(_ choice.Time, all []*status.Status) {
+		for _, one := range all {
+			if one.Popularity == nil {
+				t.Errorf("%s tells nothing of popularity", one.Self.Name)
+			} else {
+				most[one.Self.Name] = max(most[one.Self.Name], one.Popularity.Evicted)
+			}
+		}
+	})
+	for _, w := range wrong {
+		t.Errorf("%s: %s", s.Name, w)
+	}
+	t.Logf("let go: %v", most)
+	for i := range s.Processes {
+		if name := view.Name(fmt.Sprintf("s%d", i)); (most[name] > 0) != slices.Contains(s.Small, i) {
+			t.Errorf("%s has let go of %d destinations", name, most[name])
+		}
+	}
+}
+
 func TestSchedules(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.toml")
 	if err != nil || len(files) < 12 {
