--- a/lab/cluster/play/hunt_test.go
+++ b/lab/cluster/play/hunt_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"testing"
@@ -62,6 +63,28 @@
 	replay(t, files)
 }
 
+// A thousand purges while processes and whoever leads are killed: no matching notice that was taken on before one of
+// them begins once that is told complete.
+func TestManyPurges(t *testing.T) {
+	if !*found {
+		t.Skip("without -cluster.found")
+	}
+	r := rand.New(rand.NewPCG(7, 1000))
+	s := &schedule.Schedule{Name: "purges-1000", Seed: 77, Processes: 7, Zones: 3, Regions: 2, Seconds: 66, Rate: 80}
+	for at := 5.0; at < 60; at += 6 {
+		f := schedule.Fault{Kind: "kill", At: at, Seconds: 1.5, From: []int{r.IntN(s.Processes)}}
+		if len(s.Faults)%3 == 2 {
+			f.Kind, f.From = "leader", nil
+		}
+		s.Faults = append(s.Faults, f)
+	}
+	for range 1000 {
+		s.Purges = append(s.Purges, schedule.Purge{At: 2 + 58*r.Float64(), By: r.IntN(s.Processes), Subject: "notices",
+			Destination: r.IntN(4), Workload: []string{"status", "order"}[r.IntN(2)]})
+	}
+	play(t, s)
+}
+
 func keep(t *testing.T, s *schedule.Schedule) {
 	t.Helper()
 	text, err := schedule.Write(s)
