--- /dev/null
+++ b/lab/live/addresses.go
@@ -0,0 +1,100 @@
+package live
+
+// This file gives each party its loopback addresses, and moves discovery.
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+
+	"flaxcove/choice"
+	"flaxcove/lab/world"
+)
+
+// open finds a port that is free on all the run's addresses and listens there.
+func (e *engine) open() error {
+	var err error
+	for try := range 50 {
+		e.port = 20000 + (os.Getpid()*7+try*131)%10000
+		if err = e.listenAll(); err == nil {
+			return nil
+		}
+		for _, l := range e.ends {
+			l.close()
+		}
+		for _, d := range e.dirs {
+			d.close()
+		}
+		e.ends, e.dirs = map[endKey]*listener{}, nil
+	}
+	return err
+}
+
+func (e *engine) listenAll() error {
+	for s := range e.o.Spec.Senders {
+		d, err := e.newDirectory(world.SenderNo(s))
+		if err != nil {
+			return err
+		}
+		e.dirs = append(e.dirs, d)
+		// The sender's own address must be free too.
+		ln, err := net.Listen("tcp", e.senderAddr(world.SenderNo(s)))
+		if err != nil {
+			return err
+		}
+		ln.Close()
+		for _, end := range e.w.Endpoints {
+			if err := e.listenEnd(world.SenderNo(s), end); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Each party has an address of its own for each sender, all of them loopback.
+func (e *engine) senderAddr(s world.SenderNo) string {
+	return fmt.Sprintf("127.8.%d.%d:%d", int(s)/250, 1+int(s)%250, e.port)
+}
+
+func (e *engine) directoryAddr(s world.SenderNo) string {
+	// A new configuration names the next address.
+	return fmt.Sprintf("127.%d.%d.%d:%d", 9+e.moves[s]%2*2, int(s)/250+e.moves[s]/2*4, 1+int(s)%250, e.port)
+}
+
+// oldFor is how long a place that discovery has left still answers: a sender keeps its watch there until the new one
+// has spoken.
+const oldFor = 2 * choice.Second
+
+// moveDirectory has a sender's discovery and platform go elsewhere, and tells its process by a new configuration.
+func (e *engine) moveDirectory(s world.SenderNo) {
+	p, old := e.senders[s], e.dirs[s]
+	e.moves[s]++
+	d, err := e.newDirectory(s)
+	if err == nil {
+		e.dirs[s] = d
+		var text []byte
+		if text, err = p.configuration(); err == nil {
+			p.reload(text)
+		}
+	}
+	if err != nil {
+		e.fail = fmt.Sprintf("discovery of sender %d cannot move: %v", s, err)
+		return
+	}
+	e.w.After(oldFor, old.close)
+}
+
+func (e *engine) endAddr(s world.SenderNo, end world.EndpointNo, addr int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 16+int(s), int(end)/250+20*(addr%12), 1+int(end)%250, e.port)
+}
+
+// folder makes one below the run's own, or where the caller wants it kept.
+func (e *engine) folder(under, name string) (string, error) {
+	if under == "" {
+		under = e.dir
+	}
+	path := filepath.Join(under, name)
+	return path, os.MkdirAll(path, 0o755)
+}
--- /dev/null
+++ b/lab/live/ask.go
@@ -0,0 +1,74 @@
+package live
+
+// This file asks a sender from outside, as a program does.
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"flaxcove/internal/resp"
+)
+
+func ask(addr string, words ...string) (*bufio.Reader, net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return nil, nil, err
+	}
+	conn.SetDeadline(time.Now().Add(2 * time.Second))
+	var args [][]byte
+	for _, w := range words {
+		args = append(args, []byte(w))
+	}
+	if _, err := conn.Write(resp.AppendCommand(nil, args...)); err != nil {
+		conn.Close()
+		return nil, nil, err
+	}
+	return bufio.NewReader(conn), conn, nil
+}
+
+func ping(addr string) error {
+	r, conn, err := ask(addr, "PING")
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	line, err := r.ReadString('\n')
+	if err == nil && line != "+PONG\r\n" {
+		err = fmt.Errorf("answered %q", line)
+	}
+	return err
+}
+
+// info reads a sender's counters.
+func info(addr string) (map[string]int64, error) {
+	r, conn, err := ask(addr, "INFO")
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	head, err := r.ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	size, err := strconv.Atoi(strings.TrimSpace(strings.TrimPrefix(head, "$")))
+	if err != nil || size < 0 || size > 1<<20 {
+		return nil, fmt.Errorf("answered %q", head)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, err
+	}
+	counters := map[string]int64{}
+	for line := range strings.SplitSeq(string(body), "\r\n") {
+		name, value, ok := strings.Cut(line, ":")
+		if v, err := strconv.ParseInt(value, 10, 64); ok && err == nil {
+			counters[name] = v
+		}
+	}
+	return counters, nil
+}
--- /dev/null
+++ b/lab/live/wire.go
@@ -0,0 +1,56 @@
+package live
+
+// This file is the engine as the world reaches senders through it: world.Wire.
+
+import (
+	"flaxcove/lab/world"
+)
+
+func (e *engine) Up(*world.Conn) {} // connections come up by themselves
+
+func (e *engine) Note(world.SenderNo, world.SenderNo, []byte) {} // this sender listens for none
+
+func (e *engine) Act(on world.SenderNo, what world.Act) {
+	p := e.senders[on]
+	switch what {
+	case world.Kill:
+		p.expected = true
+		p.kill()
+		e.w.Ready(on, false)
+	case world.Start:
+		if !p.alive() { // two troubles that overlap have killed it once
+			p.start()
+		}
+	case world.Term:
+		p.term()
+	case world.Pause, world.Continue:
+		p.pause(what == world.Pause)
+	case world.Break:
+		p.reload([]byte("{"))
+	case world.Reload:
+		e.moveDirectory(on)
+	case world.HoardOn:
+		e.pools[on].hoard(e.amount("hoard"))
+	case world.HoardOff:
+		e.pools[on].letGo()
+	case world.RubbishOn:
+		e.pools[on].rubbish(e.amount("rubbish"))
+	case world.RubbishOff:
+		e.pools[on].noRubbish()
+	}
+}
+
+func (e *engine) amount(kind string) float64 {
+	for i := range e.o.Spec.Troubles {
+		if t := &e.o.Spec.Troubles[i]; t.Kind == kind {
+			return t.Amount
+		}
+	}
+	return world.TroubleKinds[kind].Default
+}
+
+func (e *engine) HandIn(h *world.HandIn) { e.pools[h.Sender].handIn(h) }
+
+func (e *engine) News(to world.SenderNo, l world.List) { e.dirs[to].news(l) }
+
+func (e *engine) ListFailed(to world.SenderNo) { e.dirs[to].silence() }
--- /dev/null
+++ b/lab/world/cold.go
@@ -0,0 +1,133 @@
+package world
+
+// This file is what fells an endpoint that is cold, and who had seen it fail.
+
+import (
+	"cmp"
+	"slices"
+
+	"flaxcove/choice"
+)
+
+// ColdRoom tells, for such a policy, whether one more call leaves a returning endpoint standing.
+func (w *World) ColdRoom(id choice.EndpointID) bool {
+	e := w.byID[id]
+	if e == nil || !e.isCold(w.now) {
+		return true
+	}
+	sum, _ := w.recentLoad(e)
+	return sum+1 < 0.8*w.fallBound(e)
+}
+
+// warmth is the share of its capacity that an endpoint has by now.
+func (w *World) warmth(e *Endpoint) float64 {
+	k := e.Partner.Kind
+	since := float64(w.now-e.warmFrom) / float64(seconds(k.ColdS))
+	if since >= 1 {
+		return 1
+	}
+	return k.ColdFrom + (1-k.ColdFrom)*max(0, since)
+}
+
+func (e *Endpoint) isCold(now Time) bool { return now < e.warmFrom+seconds(e.Partner.Kind.ColdS) }
+
+// saw notes that a sender knows of an outage by what happened to it.
+func (w *World) saw(e *Endpoint, s SenderNo) {
+	if e.out {
+		e.sawFail[s] = struct{}{}
+	}
+}
+
+// recentLoad is what came over the rule's span, and what of it from senders that know.
+func (w *World) recentLoad(e *Endpoint) (sum, knowing float64) {
+	span := seconds(w.Spec.Rules.FallS)
+	e.recent = slices.DeleteFunc(e.recent, func(a arrival) bool { return a.at < w.now-span })
+	for _, a := range e.recent {
+		sum += a.weight
+		if _, knows := e.sawFail[a.sender]; knows {
+			knowing += a.weight
+		}
+	}
+	return sum, knowing
+}
+
+// fallBound is the load over the rule's span beyond which a cold endpoint falls over. A handful of calls fells none.
+func (w *World) fallBound(e *Endpoint) float64 {
+	return max(4, w.Spec.Rules.FallMultiple*e.Rate*w.warmth(e)*w.Spec.Rules.FallS)
+}
+
+// countCold adds a call to the load on a returning endpoint, which may push it over.
+func (w *World) countCold(call *Call) {
+	e := call.Conn.Endpoint
+	if e.out || e.warmFrom < 0 {
+		return
+	}
+	weight := 1 + rideWork*float64(max(1, len(call.Notices))-1)
+	e.recent = append(e.recent, arrival{w.now, call.Conn.Sender, weight})
+	sum, knowing := w.recentLoad(e)
+	bound := w.fallBound(e)
+	w.ledger.Returning(e, sum, bound)
+	if sum <= bound {
+		return
+	}
+	w.ledger.PushedOver(e, knowing/sum)
+	e.downUntil = w.now + seconds(e.Partner.Kind.DownS)
+	w.tellAccepting(e)
+	w.breakAll(e)
+	w.outage(e, true)
+	w.At(e.downUntil, func() { w.judgeOutage(e) })
+}
+
+// breakAll ends the process behind an endpoint: its connections are reset and its work is gone. Of what ran, the part
+// that had come far enough has taken effect.
+func (w *World) breakAll(e *Endpoint) {
+	e.restarts++
+	e.busy = 0
+	all := make([]*Conn, 0, len(e.conns))
+	for c := range e.conns {
+		all = append(all, c)
+	}
+	slices.SortFunc(all, func(a, b *Conn) int { return cmp.Compare(a.No, b.No) })
+	e.queue = nil
+	for _, c := range all {
+		if call := c.call; call != nil && !call.over {
+			if call.running && !call.Probe && w.draw("crash ran", w.name(call)...) < 0.5 {
+				for _, h := range call.Notices {
+					w.ran(h, e)
+				}
+			}
+			w.saw(e, c.Sender)
+			w.fate(call, 0)
+		}
+		w.drop(c, true)
+	}
+}
+
+// outage begins or ends one; what returns is cold.
+func (w *World) outage(e *Endpoint, down bool) {
+	if e.out == down {
+		return
+	}
+	e.out, e.since = down, w.now
+	if down {
+		clear(e.sawFail)
+	} else {
+		e.warmFrom = w.now
+		e.recent = nil
+	}
+	w.ledger.Outage(e, down)
+}
+
+// tellAccepting lets the engine know where connections are refused from now on, or no longer.
+func (w *World) tellAccepting(e *Endpoint) {
+	if on := e.accepts(w.now); on == e.refuses {
+		e.refuses = !on
+		w.wire.Accepting(e, on)
+	}
+}
+
+// judgeOutage compares what strikes an endpoint with whether it counts as out.
+func (w *World) judgeOutage(e *Endpoint) {
+	w.tellAccepting(e)
+	w.outage(e, e.unwell() || e.fx.failing > 0.5 || w.now < e.downUntil)
+}
