Choice: what an earlier life took on and nobody tried makes no room for others and keeps its own time

It also ended such ones for new notices. And lastSend keeps back up to a quarter of the workload's hard stop for a call of unknown length, which after a start is every call: a notice that was taken on with a quarter of that time, or half left of little more, was handed back at once.

Ruled out by tests of the sender: an unknown destination, cold paces, a share used up, keys in order.

Lines at fault: keepRoom's first condition and its choice of a victim; the bound in lastSend.

The change: Notice.Span tells with how much time an earlier life took a notice on. Where it is set keepRoom leaves the notice, and until its first try ends none such for another; lastSend bounds what it keeps back by a quarter of that span.

--- /dev/null
+++ b/choice/earlier_test.go
@@ -0,0 +1,39 @@
+package choice
+
+import "fmt"
+
+// What an earlier life took on and nobody has tried stays where the backlog is full, whoever comes: the new one goes
+// itself. Once it has been tried it is like any other.
+func ExampleSender_earlierLife() {
+	set := plain()
+	set.MaxOpen, set.Slots = 20, 0 // nothing leaves
+	d := open(set)
+	for i := range 25 {
+		d.s.Taken(Notice{ID: NoticeID(fmt.Sprint("old", i)), Key: NoKey, Destination: 2, HardStop: d.clock + 3*Second, Span: 6 * Second})
+	}
+	d.take(2, 1, "new")
+	fmt.Println("held:", len(d.s.held))
+	for _, n := range d.s.held {
+		n.tries = 1
+	}
+	d.mute = true
+	d.take(2, 1, "new")
+	fmt.Println("held:", len(d.s.held))
+	// Output:
+	// 0.0     shed new
+	// held: 25
+	// held: 25
+}
+
+// A quarter of the time that it was taken on with is the most that is kept back for a call, also where that was less
+// than its workload has: else a start, which knows no times, hands it back untried with half of its time left.
+func ExampleSender_shortSpan() {
+	d := open(plain())
+	for _, span := range []Time{0, 600 * Millisecond} {
+		d.s.Taken(Notice{ID: "old", Workload: 2, Key: NoKey, Destination: 1, HardStop: d.clock + 300*Millisecond, Span: span})
+		d.s.TurnEnd()
+	}
+	// Output:
+	// 0.0     shed old
+	// 0.0     dispatch old to a
+}
--- a/choice/host.go
+++ b/choice/host.go
@@ -133,6 +133,9 @@
 	Key         OrderKey
 	HardStop    Time // on the clock
 	Destination DestinationID
+	// Span is with how much time an earlier life took it on; 0 for what comes from a client, which can still be refused.
+	// Without it a start would hand back much of a full backlog, and what had little time from the first.
+	Span Time
 	// After a restart: a dispatch of an earlier life may have run, when it was sent, and to which zone.
 	MayRun bool
 	RanAt  Time
--- a/choice/intake.go
+++ b/choice/intake.go
@@ -31,15 +31,15 @@
 	}
 }
 
-// keepRoom turns away by chance, below MaxOpen, what earns least for the room and time that it still needs.
+// keepRoom turns away by chance, below MaxOpen, what earns least for room and time; nothing owed and untried.
 func (s *Sender) keepRoom(n *notice) {
 	p := (float64(len(s.held))/float64(s.set.MaxOpen) - crowdFrom) / (1 - crowdFrom)
-	if p <= 0 || s.chance.share(string(n.ID)) >= p*(2-n.gain/s.topGain) {
+	if p <= 0 || n.Span > 0 || s.chance.share(string(n.ID)) >= p*(2-n.gain/s.topGain) {
 		return
 	}
 	victim, least := n, float64(forever)
 	for _, v := range s.held {
-		if v.out == nil {
+		if v.out == nil && (v.Span == 0 || v.tries > 0) {
 			needs := s.needs(v)
 			if earns := s.worth(v, needs) / float64(needs); earns < least || earns == least && v.ID < victim.ID {
 				victim, least = v, earns
@@ -72,7 +72,7 @@
 
 // lastSend is the last time at which a dispatch has room for one usual call.
 func (s *Sender) lastSend(n *notice) Time {
-	last := n.HardStop - ceil(min(s.usual(n.d), float64(n.w.HardStop)/4)) - 2*s.turn
+	last := n.HardStop - ceil(min(s.usual(n.d), float64(n.life())/4)) - 2*s.turn
 	if n.MayRun && n.w.Repeat == Tokened {
 		last = min(last, n.RanAt+n.w.RepeatWindow-s.turn)
 	}
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -117,6 +117,9 @@
 	return max(0, 1-(1-w.LateGain)*late/float64(max(1, w.HardStop-w.ContractTime)))
 }
 
+// life is the time that a notice was taken on with, as far as that is known.
+func (n *notice) life() Time { return cmp.Or(n.Span, n.w.HardStop) }
+
 // sign stands for an endpoint in notes, which are three bytes long: a sign, and a wait in noteUnits; the shortest one
 // stands for none told.
 type sign [2]byte
