--- a/internal/sender/admit.go
+++ b/internal/sender/admit.go
@@ -49,6 +49,7 @@
 	order    []*notice // those owed in the order taken on, with ended ones among them until a rewriting
 	admitted []*notice // of this turn
 	live     int64     // bytes that a rewriting would keep, at most
+	coming   int64     // what this turn's notices will add to that
 	unnamed  []*notice // whose record tells a zone by number alone, until the start has written their names
 
 	ended    map[choice.NoticeID]struct{} // taken on and over; the oldest leaves for the newest
@@ -73,9 +74,17 @@
 // told is a notice as the module takes it.
 func (n *notice) told() choice.Notice { return n.Notice }
 
-// room tells whether the journal can hold one more notice together with its later records.
+// room tells whether the journal can hold one more notice together with its later records. What came in the same turn
+// counts: a burst that passes the limit all at once could not be written at all, and nobody would have an answer.
 func (s *Sender) room(n *notice) bool {
-	return s.live+n.size+endRecords <= int64(liveShare*float64(s.journal.Limit()))
+	return s.live+s.coming+n.size+endRecords <= int64(liveShare*float64(s.journal.Limit()))
+}
+
+// admit lays a notice up for the turn's end. Its client waits until then.
+func (s *Sender) admit(n *notice) {
+	s.owed[n.ID] = n
+	s.admitted = append(s.admitted, n)
+	s.coming += n.size + endRecords
 }
 
 // commit writes what the turn must not forget. It tells whether anything may leave.
@@ -87,6 +96,7 @@
 			s.keep(n)
 		}
 	}
+	s.coming = 0
 	for _, c := range s.starting {
 		for _, n := range c.notices {
 			if s.limitsRepeat(n) && !n.sure {
--- a/internal/sender/command.go
+++ b/internal/sender/command.go
@@ -81,8 +81,7 @@
 	n.reply = r
 	s.log.Debug("taken", zap.String("id", string(n.ID)), zap.String("workload", n.workload),
 		zap.Int64("dest", int64(n.Destination)), zap.Int64("hard_stop_ms", int64((n.HardStop-s.Now())/choice.Millisecond)))
-	s.owed[n.ID] = n
-	s.admitted = append(s.admitted, n)
+	s.admit(n)
 	s.module.Taken(n.told())
 	s.wakeUp(n.Destination)
 }
--- /dev/null
+++ b/internal/sender/room_test.go
@@ -0,0 +1,50 @@
+package sender
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"flaxcove/choice"
+)
+
+// What comes within one turn counts against the disk like what came before it: of a burst as much is taken on as has
+// room, the rest is refused, and the journal goes on being written.
+func TestRoomWithinOneTurn(t *testing.T) {
+	t.Parallel()
+	l := follow(t, startAs(configureFour(t.TempDir(), 1000)))
+	body := strings.Repeat("x", 20000)
+	c := &client{room: make(chan struct{}, window), writing: 1}
+	for i := range 40 {
+		c.room <- struct{}{}
+		l.s.command(c, words(fmt.Sprintf("OUT.ADD 0 n%d c=pure,d=8000,dest=1 %s", i, body)))
+	}
+	l.goOn(5*time.Millisecond, time.Hour)
+	info, err := os.Stat(l.dir + "/notices.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l.s.failing || info.Size() > l.s.journal.Limit() {
+		t.Errorf("failing: %v, the file holds %d of %d bytes", l.s.failing, info.Size(), l.s.journal.Limit())
+	}
+	if l.s.counts.takenOn == 0 || l.s.counts.takenOn+l.s.counts.refused != 40 {
+		t.Errorf("of 40, %d taken on and %d refused", l.s.counts.takenOn, l.s.counts.refused)
+	}
+	// All that was taken on is owed by the next process.
+	if again := startAs(configureFour(l.dir, 1000)); int64(len(again.s.owed)) != l.s.counts.takenOn {
+		t.Errorf("taken on %d, owed after a kill %d", l.s.counts.takenOn, len(again.s.owed))
+	}
+	// What was refused needs no room any more.
+	for id := range l.s.owed {
+		l.s.over(l.s.owed[choice.NoticeID(id)])
+	}
+	before := l.s.counts.takenOn
+	c.room <- struct{}{}
+	l.s.command(c, words("OUT.ADD 0 last c=pure,d=8000,dest=1 "+body))
+	l.goOn(5*time.Millisecond, time.Hour)
+	if l.s.counts.takenOn != before+1 {
+		t.Error("nothing is taken on once the room is free again")
+	}
+}
