A wall clock that was put back between two processes opens no window for repeats and gives no notice more time

Seen (TestWindowThroughRestart, TestClockPutBack): a tokened notice whose call had begun before the end of a process was called again by the next one though the clock had been put back by 3 s meanwhile, so that nothing told how old the first call was: a second copy outside of a window of 1 s. Notices taken on for 8 s ended as many seconds late as the clock was put back.

Ruled out by cases that passed before: the window through a usual restart within it and behind it, with an endpoint that is listed only behind it, and with a clock that was put on.

Lines at fault: replay took HardStop and RanAt as they stood, and moved takenAt alone, notice by notice.

The change: a record that tells of a later time than the start's shows that the clock was put back, by so much at least. putBack moves all that was read by that, and has each window for repeats count as over.

--- a/internal/sender/admit.go
+++ b/internal/sender/admit.go
@@ -46,11 +46,12 @@
 type admission struct {
 	journal  *journal.Journal
 	owed     map[choice.NoticeID]*notice
-	order    []*notice // those owed in the order taken on, with ended ones among them until a rewriting
-	admitted []*notice // of this turn
-	live     int64     // bytes that a rewriting would keep, at most
-	coming   int64     // what this turn's notices will add to that
-	unnamed  []*notice // whose record tells a zone by number alone, until the start has written their names
+	order    []*notice   // those owed in the order taken on, with ended ones among them until a rewriting
+	admitted []*notice   // of this turn
+	live     int64       // bytes that a rewriting would keep, at most
+	coming   int64       // what this turn's notices will add to that
+	latest   choice.Time // that a record tells, while the start reads them
+	unnamed  []*notice   // whose record tells a zone by number alone, until the start has written their names
 
 	ended    map[choice.NoticeID]struct{} // taken on and over; the oldest leaves for the newest
 	endedIDs []choice.NoticeID            // in a ring
--- a/internal/sender/move_test.go
+++ b/internal/sender/move_test.go
@@ -43,14 +43,15 @@
 	r := startAs(configureAs(dir, before, listBefore)).hand("OUT.ADD k of c=offer,d=20000,dest=1 x").answer(lost)
 	r.hand("OUT.ADD k out c=change,d=20000,dest=1 x", "OUT.ADD k next c=change,d=20000,dest=1 x", "OUT.ADD k last c=change,d=20000,dest=1 x")
 	fmt.Println("killed, moved")
-	r = startAs(configureAs(dir, after, listAfter)).turn(400 * time.Millisecond)
+	r = startAt(configureAs(dir, after, listAfter), r.clock).turn(400 * time.Millisecond)
 	for _, c := range r.calls {
 		fmt.Println("out:", c.e.id, c.notices[0].ID)
 	}
 	fmt.Println("killed, moved to where z is not known")
-	startAs(configureAs(dir, strings.Replace(after, `["y","z"]`, `["y","x"]`, 1), strings.Replace(listAfter, `"zone":"z"`, `"zone":"x"`, 1))).turn(400 * time.Millisecond)
+	r = startAt(configureAs(dir, strings.Replace(after, `["y","z"]`, `["y","x"]`, 1), strings.Replace(listAfter, `"zone":"z"`, `"zone":"x"`, 1)), r.clock)
+	r.turn(400 * time.Millisecond)
 	fmt.Println("killed, moved back")
-	startAs(configureAs(dir, before, listBefore)).turn(400 * time.Millisecond)
+	startAt(configureAs(dir, before, listBefore), r.clock).turn(400 * time.Millisecond)
 	os.RemoveAll(dir)
 	// Output:
 	// call a: POST /inbox
@@ -117,9 +118,9 @@
 // folder stays as it is, and the old settings still serve it.
 func Example_moveWithoutWorkload() {
 	dir, _ := os.MkdirTemp("", "sender")
-	startAs(configureAs(dir, before, listBefore)).hand("OUT.ADD k of c=offer,d=20000,dest=1 x")
-	startAs(configureAs(dir, strings.Replace(after, `"name":"offer"`, `"name":"other"`, 1), listAfter))
-	startAs(configureAs(dir, before, listBefore)).owed()
+	r := startAs(configureAs(dir, before, listBefore)).hand("OUT.ADD k of c=offer,d=20000,dest=1 x")
+	startAt(configureAs(dir, strings.Replace(after, `"name":"offer"`, `"name":"other"`, 1), listAfter), r.clock)
+	startAt(configureAs(dir, before, listBefore), r.clock).owed()
 	os.RemoveAll(dir)
 	// Output:
 	// call a: POST /inbox
--- a/internal/sender/records.go
+++ b/internal/sender/records.go
@@ -9,7 +9,7 @@
 	"flaxcove/choice"
 )
 
-// Kinds of record. All but one hold the id; what else they hold stands beside them.
+// Kinds of record. All but two hold the id; what else they hold stands beside them.
 const (
 	recTaken  = 'T' // all that was handed in, the hard stop by the wall clock, and how long before it was taken on
 	recOut    = 'O' // a dispatch that may run: when, and to which zone, by number (all that older records have) and name
@@ -17,6 +17,7 @@
 	recEnding = 'E' // what the platform is still to be told
 	recOver   = 'X' // nothing more is owed
 	recPurge  = 'P' // a purge was applied: its Seq, and what it found; holds no id
+	recClock  = 'C' // the wall clock was put back: by how much, at least, what was told before it is earlier; no id
 )
 
 func appendText(out []byte, text string) []byte {
@@ -40,6 +41,8 @@
 
 func plainRecord(kind byte, id choice.NoticeID) []byte { return appendText([]byte{kind}, string(id)) }
 
+func clockRecord(back choice.Time) []byte { return binary.AppendVarint([]byte{recClock}, int64(back)) }
+
 func endingRecord(n *notice) []byte { return endRecord(n.ID, n.ending) }
 
 func endRecord(id choice.NoticeID, how ending) []byte {
--- a/internal/sender/replay.go
+++ b/internal/sender/replay.go
@@ -26,6 +26,11 @@
 	}
 	s.journal = j
 	s.order = deleteEnded(s.order)
+	if back := s.latest - s.Now(); back > 0 {
+		s.log.Warn("journal: the wall clock was put back", zap.Float64("seconds", float64(back)/float64(choice.Second)))
+		s.putBack(back)
+		j.Add(clockRecord(back)) // what is written from here on tells the new clock's times
+	}
 	for _, n := range s.order {
 		s.live += n.size + endRecords
 		if n.ending.what != endNone {
@@ -68,6 +73,12 @@
 		return
 	}
 	p := fields{rest: record[1:]}
+	if record[0] == recClock {
+		if back := choice.Time(p.number()); !p.broken && back > 0 {
+			s.putBack(back)
+		}
+		return
+	}
 	id := choice.NoticeID(p.text())
 	n := s.owed[id]
 	if record[0] == recTaken && n == nil {
@@ -76,8 +87,7 @@
 		n.HardStop, n.Destination = choice.Time(p.number()), choice.DestinationID(p.number())
 		n.body = []byte(p.text())
 		if !p.broken && len(p.rest) > 0 {
-			// A wall clock that was put back meanwhile must not have it count as taken on later than now.
-			n.takenAt = min(n.HardStop-choice.Time(p.number()), s.Now())
+			n.takenAt = n.HardStop - choice.Time(p.number())
 		}
 		n.Workload = s.cfg.Workloads[n.workload] // an unknown one has the start refused, unless it is over
 		if p.broken {
@@ -85,6 +95,7 @@
 			return
 		}
 		n.Key = orderKey(n.key)
+		s.latest = max(s.latest, n.takenAt)
 		s.owed[id] = n
 		s.order = append(s.order, n)
 	}
@@ -95,6 +106,7 @@
 	case recOut:
 		n.sure, n.MayRun = true, true
 		n.RanAt, n.RanIn = choice.Time(p.number()), choice.ZoneNo(p.number())
+		s.latest = max(s.latest, n.RanAt)
 		if len(p.rest) > 0 {
 			n.ranIn = p.text()
 			n.RanIn = s.names.Zone(n.ranIn)
@@ -121,3 +133,17 @@
 		s.remember(id)
 	}
 }
+
+// putBack has all that was read so far count by a wall clock that was put back by so much, at least: a record tells of a
+// later time than now. Nobody gets more time than it was taken on with, and none counts as taken on later than now. How
+// long ago a call began is not known any more: the window for its repeats may be over, and counts as over.
+func (s *Sender) putBack(back choice.Time) {
+	for _, n := range s.order {
+		n.HardStop -= back
+		if n.takenAt != 0 {
+			n.takenAt -= back
+		}
+		n.RanAt = 0
+	}
+	s.latest = 0
+}
