--- /dev/null
+++ b/internal/sender/cut_test.go
@@ -0,0 +1,207 @@
+package sender
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"flaxcove/choice"
+	"flaxcove/internal/config"
+	"flaxcove/internal/directory"
+)
+
+// history is what an earlier process did with a notice, each step with the bytes of the journal's file by then.
+type history struct {
+	class string
+	ok    int64   // its client was told
+	left  []int64 // calls
+	back  []int64 // how many of them are proven not to have run
+	over  int64   // nothing more is owed
+}
+
+// configureMany has an endpoint for each of twelve destinations.
+func configureMany(dir string) *config.Config {
+	c := configureFour(dir, 100)
+	c.Known.Servers = nil
+	for i := range 12 {
+		c.Known.Servers = append(c.Known.Servers, directory.Entry{ID: fmt.Sprint("e", i), Addr: "127.0.0.1:1", Zone: "z", Kind: "one", Cell: float64(i), State: "up", Weight: 9})
+	}
+	return c
+}
+
+const never = int64(1) << 60
+
+// after tells what of it stands where the file was cut.
+func (h *history) after(cut int64) (owed, out, over bool) {
+	count := func(all []int64) (n int) {
+		for _, at := range all {
+			if at <= cut {
+				n++
+			}
+		}
+		return n
+	}
+	return h.ok <= cut && h.over > cut, count(h.left) > count(h.back), h.over <= cut
+}
+
+// aDay has a process take notices of all classes on and meets their calls with all that can be. It returns the
+// journal's file, what was done, and the clock at the end.
+func aDay(t *testing.T) (file []byte, did map[choice.NoticeID]*history, end time.Duration) {
+	dir := t.TempDir()
+	r := startAs(configureMany(dir))
+	path := filepath.Join(dir, "notices.log")
+	size := func() int64 {
+		info, err := os.Stat(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return info.Size()
+	}
+	did = map[choice.NoticeID]*history{}
+	r.s.dial = func(c *call) {
+		r.calls = append(r.calls, c)
+		for _, n := range c.notices {
+			did[n.ID].left = append(did[n.ID].left, size())
+		}
+	}
+	r.s.tell = func(string, []byte) (int, error) { return 204, nil }
+	ends := func() {
+		r.s.journal.Flush() // the records of ends, which a turn would write
+		for id, h := range did {
+			if r.s.owed[id] == nil && len(h.left) > 0 && h.over == never {
+				h.over = size()
+			}
+		}
+	}
+	const staysOut = "stays out"
+	answers := []string{ok, full, lost, "", unsent, staysOut, ok}
+	var came []*client
+	for i := range 24 {
+		class := []string{"pure", "token", "single", "line"}[i%4]
+		id := choice.NoticeID(fmt.Sprint("n", i))
+		did[id] = &history{class: class, ok: never, over: never}
+		c := &client{room: make(chan struct{}, window), writing: 1}
+		came = append(came, c)
+		c.room <- struct{}{}
+		r.s.command(c, words(fmt.Sprintf("OUT.ADD %d %s c=%s,d=8000,dest=%d x", i%5, id, class, i%12)))
+		r.clock += 5 * time.Millisecond
+		r.s.turn()
+		for r.s.posting {
+			(<-r.s.inbox)()
+		}
+		ends()
+		for j, c := range came {
+			if h := did[choice.NoticeID(fmt.Sprint("n", j))]; h.ok == never && strings.Contains(string(c.out), "+OK") {
+				h.ok = size()
+			}
+		}
+		text := answers[i%len(answers)]
+		if last := len(r.calls) - 1; last >= 0 && text != staysOut && !r.calls[last].over {
+			ids := r.calls[last].ids()
+			r.answer(text)
+			ends()
+			for _, id := range ids {
+				if text == full || text == unsent {
+					did[id].back = append(did[id].back, size())
+				}
+			}
+		}
+	}
+	file, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return file, did, r.clock
+}
+
+// A process may be killed at any byte of its journal. Wherever that is, the next one starts, owes all that clients were
+// told of and that had no end, calls each at most once, and none that is single-use and may have run; and the process
+// after that owes nothing.
+func TestCutAtEveryByte(t *testing.T) {
+	t.Parallel()
+	file, did, end := aDay(t)
+	outs, overs, backs := 0, 0, 0
+	for _, h := range did {
+		outs, backs = outs+len(h.left), backs+len(h.back)
+		if h.over != never {
+			overs++
+		}
+	}
+	if outs < 10 || overs < 2 || backs < 2 {
+		t.Fatalf("a poor day: %d calls, %d ends, %d proven not to have run", outs, overs, backs)
+	}
+	dir := t.TempDir()
+	for cut := range len(file) + 1 {
+		if err := os.WriteFile(filepath.Join(dir, "notices.log"), file[:cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		// A rewriting that the kill cut off lies beside it: half written, or whole and not renamed yet.
+		if err := os.WriteFile(filepath.Join(dir, "notices.new"), file[:len(file)-cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		l := follow(t, startAt(configureMany(dir), end+100*time.Millisecond))
+		for _, id := range slices.Sorted(maps.Keys(did)) {
+			if owed, _, over := did[id].after(int64(cut)); owed && l.s.owed[id] == nil || over && l.s.owed[id] != nil {
+				t.Errorf("cut at %d: %s: should be owed %v, is over %v, is owed %v", cut, id, owed, over, l.s.owed[id] != nil)
+			}
+		}
+		l.goOn(1500*time.Millisecond, 5*time.Millisecond)
+		for id, h := range did {
+			owed, out, over := h.after(int64(cut))
+			once := h.class == "single" || h.class == "line"
+			switch calls := l.calls[id]; {
+			case calls > 1, calls > 0 && over, calls > 0 && once && out:
+				t.Errorf("cut at %d: %s (%s) was called %d times; out before %v, over before %v", cut, id, h.class, calls, out, over)
+			case owed && !(once && out) && calls == 0:
+				t.Errorf("cut at %d: %s (%s) was not called; the platform was told %q", cut, id, h.class, l.ends[string(id)])
+			}
+		}
+		if len(l.s.owed) > 0 {
+			t.Errorf("cut at %d: %d still owed", cut, len(l.s.owed))
+		}
+		l.s.journal.Flush()
+		if again := startAt(configureMany(dir), l.clock); len(again.s.owed) > 0 {
+			t.Errorf("cut at %d: %d owed at the start after", cut, len(again.s.owed))
+		}
+		if t.Failed() {
+			return
+		}
+	}
+}
+
+// What a rewriting keeps is what was owed, with all that forbids or limits another call.
+func TestRewrittenTellsTheSame(t *testing.T) {
+	t.Parallel()
+	file, _, end := aDay(t)
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "notices.log"), file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tell := func(r *rig) (lines []string) {
+		for _, n := range r.s.order {
+			if n.ending.what != endOver {
+				told, ran := n.Notice, ""
+				if n.MayRun {
+					ran = n.ranIn
+				} else { // nobody asks when and where else
+					told.RanAt, told.RanIn = 0, 0
+				}
+				lines = append(lines, fmt.Sprint(told, n.key, n.workload, string(n.body), n.takenAt, n.sure, ran, n.ending))
+			}
+		}
+		return lines
+	}
+	first := startAt(configureMany(dir), end)
+	want := tell(first)
+	if err := first.s.journal.Rewrite(first.s.records); err != nil {
+		t.Fatal(err)
+	}
+	if got := tell(startAt(configureMany(dir), end)); len(want) == 0 || !slices.Equal(got, want) {
+		t.Errorf("%d owed, after a rewriting %d:\n%s\n%s", len(want), len(got), strings.Join(want, "\n"), strings.Join(got, "\n"))
+	}
+}
