Settings: what means nothing is refused by its field; no aim told is no aim of 0; a span without end stays one

A class that tells no aim had calls given up after 1.1 ms, as time-outs are made from the shortest aim. Spans near the highest number passed it in sums, where a timer then fires at once.

Ruled out: NaN and infinities (JSON has none, 1e999 is refused), odd characters in names, one class, twenty, only single-use, none; a wrong file at SIGHUP, which brings nothing.

Lines at fault: Boot.Settings checked four numbers of some thirty, and file.check no name.

The change: checkNumbers and checkNames; without an aim the deadline stands in its place; spans count as ten years at most.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,6 +46,9 @@
 	DiskMB   float64 `json:"disk_mb"`
 }
 
+// mostMB is far above any machine and far below what passes the highest number in bytes.
+const mostMB = 1 << 40
+
 type file struct {
 	Name      string         `json:"name"`
 	Listen    string         `json:"listen"`
@@ -162,6 +165,10 @@
 	}
 	c.Seed = int64(seed)
 	switch {
+	case f.Limits.MemoryMB > mostMB:
+		return nil, fmt.Errorf("field limits.memory_mb: %d is above %d", f.Limits.MemoryMB, int64(mostMB))
+	case f.Limits.DiskMB > mostMB:
+		return nil, fmt.Errorf("field limits.disk_mb: %g is above %d", f.Limits.DiskMB, int64(mostMB))
 	case f.Limits.MemoryMB < 16:
 		return nil, fmt.Errorf("field limits.memory_mb: %d is under 16", f.Limits.MemoryMB)
 	case f.Limits.Sockets < 64:
@@ -175,6 +182,9 @@
 	if c.Settings, err = f.Settings.Settings(true); err != nil {
 		return nil, fmt.Errorf("field settings: %w", err)
 	}
+	if err := f.Settings.checkNames(); err != nil {
+		return nil, fmt.Errorf("field settings: %w", err)
+	}
 	// What the settings allow is not yet wanted: notes are off until TurnOnNotes.
 	c.mayNote, c.Settings.Notes = c.Settings.Notes, false
 	c.PeerListen, c.Peers, c.PeersAll = f.PeerListen, f.Peers, f.PeersAll
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 
 	"flaxcove/choice"
 )
@@ -91,6 +92,10 @@
 	"rough": choice.RatingRough, "nominal": choice.RatingExact, "live": choice.RatingRough,
 }
 
+// longest is what a span counts as that is told longer: some write the highest number for no end, and sums with it must
+// not pass the highest number in turn, as a timer that lies in the past fires at once.
+const longest = 10 * 365 * 24 * 3600 * 1_000_000_000
+
 // Settings are what the module is started with. tellsFull says how a full table of connections shows: on sockets it is
 // answered, on the simulator's wire the connection fails.
 func (b *Boot) Settings(tellsFull bool) (choice.Settings, error) {
@@ -106,15 +111,15 @@
 		Probing:        b.Bounds.Probing,
 		Notes:          b.Bounds.Peers,
 		Cancelling:     b.Bounds.Cancel,
-		DialTimeout:    Up(b.Bounds.DialTimeout),
-		ConnIdle:       Down(b.Bounds.ConnIdle),
+		DialTimeout:    Up(min(longest, b.Bounds.DialTimeout)),
+		ConnIdle:       Down(min(longest, b.Bounds.ConnIdle)),
 		TellsFull:      tellsFull,
-		Turn:           Up(b.Quantum),
+		Turn:           Up(min(longest, b.Quantum)),
 		FallMultiple:   b.Rules.FallMultiple,
-		Fall:           Up(b.Rules.Fall),
+		Fall:           Up(min(longest, b.Rules.Fall)),
 		ColdFrom:       b.Rules.ColdFrom,
-		Cold:           Up(b.Rules.Cold),
-		KeyRest:        Up(b.Rules.KeyRest),
+		Cold:           Up(min(longest, b.Rules.Cold)),
+		KeyRest:        Up(min(longest, b.Rules.KeyRest)),
 		RefusedPrice:   b.Extra.TurnedAwayPrice,
 		HandshakePrice: b.Deductions.Handshake,
 	}
@@ -122,8 +127,8 @@
 	if s.Rating, known = ratings[b.Weights]; !known {
 		return s, fmt.Errorf("weights: unknown word %q", b.Weights)
 	}
-	if s.Slots < 0 || s.MaxOpen < 0 || s.MaxDispatches < 0 || b.Quantum < 0 {
-		return s, errors.New("a count or a time is below 0")
+	if err := b.checkNumbers(); err != nil {
+		return s, err
 	}
 	if s.MaxOpen == 0 {
 		s.MaxOpen = math.MaxInt
@@ -132,22 +137,26 @@
 		s.MaxDispatches = math.MaxInt
 	}
 	if b.Bounds.RetryAfter {
-		s.LongestReturn = Down(b.Bounds.MaxRetryAfter)
+		s.LongestReturn = Down(min(longest, b.Bounds.MaxRetryAfter))
 	}
 	for i, c := range b.Classes {
 		repeat, known := repeats[c.Idempotency]
 		if !known {
 			return s, fmt.Errorf("classes[%d].idempotency: unknown word %q", i, c.Idempotency)
 		}
-		if c.Deadline <= 0 || c.Aim < 0 {
-			return s, fmt.Errorf("classes[%d]: aim %d, deadline %d", i, c.Aim, c.Deadline)
+		if c.Deadline <= 0 {
+			return s, fmt.Errorf("classes[%d].deadline: %d is not above 0", i, c.Deadline)
+		}
+		aim := c.Aim
+		if aim == 0 {
+			aim = c.Deadline // none is told: with 0 each call would be given up within a millisecond
 		}
 		s.Workloads = append(s.Workloads, choice.Workload{
 			Repeat:       repeat,
 			ZoneGroup:    c.Group == "zone" || c.Group == "cell",
-			RepeatWindow: Down(c.RepeatWindow),
-			ContractTime: Down(c.Aim),
-			HardStop:     Down(c.Deadline),
+			RepeatWindow: Down(min(longest, c.RepeatWindow)),
+			ContractTime: Down(min(longest, aim)),
+			HardStop:     Down(min(longest, c.Deadline)),
 			Gain:         c.Worth,
 			LateGain:     c.LateWorth,
 			ByArrival:    c.ByArrival,
@@ -173,20 +182,65 @@
 	if s.RouteFees = b.Extra.Carriage; len(s.RouteFees) > 0 && len(s.RouteFees) != len(b.Zones) {
 		return s, fmt.Errorf("extra.carriage: %d fees for %d zones", len(s.RouteFees), len(b.Zones))
 	}
-	for _, span := range []struct {
-		field string
-		told  int64
-	}{
-		{"rules.keyRest", b.Rules.KeyRest}, {"rules.cold", b.Rules.Cold}, {"rules.fall", b.Rules.Fall},
-		{"bounds.maxRetryAfter", b.Bounds.MaxRetryAfter}, {"bounds.connIdle", b.Bounds.ConnIdle},
-		{"bounds.dialTimeout", b.Bounds.DialTimeout},
-	} {
-		if span.told < 0 {
-			return s, fmt.Errorf("%s: %d is below 0", span.field, span.told)
-		}
-	}
 	for _, a := range b.Accounts {
 		s.Quotas = append(s.Quotas, a.QuotaRps)
 	}
 	return s, nil
 }
+
+// mostSenders bounds products with their number.
+const mostSenders = 1 << 20
+
+// checkNumbers refuses numbers that mean nothing. What is worth less than nothing would never be sent.
+func (b *Boot) checkNumbers() error {
+	type number struct {
+		field string
+		told  float64
+	}
+	all := []number{
+		{"balancers", float64(b.Balancers)}, {"quantum", float64(b.Quantum)}, {"overShareWorth", b.OverShareWorth},
+		{"extra.callsOut", float64(b.Extra.CallsOut)}, {"extra.turnedAwayPrice", b.Extra.TurnedAwayPrice},
+		{"bounds.maxOpen", float64(b.Bounds.MaxOpen)}, {"bounds.maxAttempts", float64(b.Bounds.MaxAttempts)},
+		{"bounds.maxRetryAfter", float64(b.Bounds.MaxRetryAfter)}, {"bounds.connIdle", float64(b.Bounds.ConnIdle)},
+		{"bounds.dialTimeout", float64(b.Bounds.DialTimeout)}, {"deductions.handshake", b.Deductions.Handshake},
+		{"rules.keyRest", float64(b.Rules.KeyRest)}, {"rules.cold", float64(b.Rules.Cold)}, {"rules.fall", float64(b.Rules.Fall)},
+		{"rules.coldFrom", b.Rules.ColdFrom}, {"rules.fallMultiple", b.Rules.FallMultiple},
+	}
+	for i, c := range b.Classes {
+		all = append(all, number{fmt.Sprintf("classes[%d].worth", i), c.Worth}, number{fmt.Sprintf("classes[%d].aim", i), float64(c.Aim)},
+			number{fmt.Sprintf("classes[%d].repeatWindow", i), float64(c.RepeatWindow)})
+	}
+	for i, a := range b.Accounts {
+		all = append(all, number{fmt.Sprintf("accounts[%d].quotaRps", i), a.QuotaRps})
+	}
+	for _, n := range all {
+		if n.told < 0 {
+			return fmt.Errorf("%s: %v is below 0", n.field, n.told)
+		}
+	}
+	if b.Balancers > mostSenders {
+		return fmt.Errorf("balancers: %d is above %d", b.Balancers, mostSenders)
+	}
+	return nil
+}
+
+// checkNames refuses names that stand for nothing or for two things. Any character may stand in one.
+func (b *Boot) checkNames() error {
+	classes := make([]string, len(b.Classes))
+	for i, c := range b.Classes {
+		if classes[i] = c.Name; c.Name == "" {
+			return fmt.Errorf("classes[%d].name: missing", i)
+		}
+	}
+	for _, list := range []struct {
+		field string
+		names []string
+	}{{"classes[%d].name", classes}, {"zones[%d]", b.Zones}, {"machineTypes[%d]", b.MachineTypes}} {
+		for i, name := range list.names {
+			if first := slices.Index(list.names, name); first < i {
+				return fmt.Errorf(list.field+": %q stands for "+list.field+" already", i, name, first)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sender/odd_test.go
@@ -0,0 +1,55 @@
+package sender
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"flaxcove/choice"
+)
+
+// Twenty classes of odd names are told apart, through a kill too, and one that tells no aim has calls that last long
+// enough for an answer.
+func TestOddClasses(t *testing.T) {
+	t.Parallel()
+	var names, classes []string
+	for i := range 20 {
+		name := []string{"täglich", "x=y", "日本", "%s", "../up", "a;b", "[]", "'", "0", "-"}[i%10] + strings.Repeat("n", i/10*300)
+		names = append(names, name)
+		classes = append(classes, fmt.Sprintf(`{"name":%q,"idempotency":%q,"deadline":8000000000,"worth":1}`, name, []string{"pure", "side_effect"}[i%2]))
+	}
+	settings := fmt.Sprintf(`{"quantum":5000000,"machineTypes":["one"],"zones":["z"],"classes":[%s],"extra":{"callsOut":40}}`, strings.Join(classes, ","))
+	dir := t.TempDir()
+	l := follow(t, startAs(configureAs(dir, settings, listFour)))
+	c := &client{room: make(chan struct{}, window), writing: 1}
+	for i, name := range names {
+		c.room <- struct{}{}
+		l.s.command(c, words(fmt.Sprintf("OUT.ADD 0 n%d c=%s,d=8000,dest=7 x", i, name)))
+	}
+	l.list(`{"version":2,"servers":[{"id":"g","addr":"127.0.0.1:7","zone":"z","kind":"one","cell":7,"state":"draining"}]}`)
+	for i, name := range names {
+		c.room <- struct{}{}
+		l.s.command(c, words(fmt.Sprintf("OUT.ADD 0 n%d c=%s,d=8000,dest=7 x", i, name)))
+	}
+	l.goOn(5*time.Millisecond, time.Hour)
+	if got := strings.Count(string(c.out), "+OK"); got != len(names) {
+		t.Fatalf("%d of %d taken on: %.300s", got, len(names), c.out)
+	}
+	l = follow(t, startAt(configureAs(dir, settings, strings.ReplaceAll(listFour, `"cell":1`, `"cell":7`)), l.clock))
+	for i, name := range names {
+		n := l.s.owed[choice.NoticeID(fmt.Sprint("n", i))]
+		if n == nil || n.workload != name || n.Workload != choice.WorkloadNo(i) {
+			t.Errorf("class %q: %v", name, n)
+		}
+	}
+	l.goOn(5*time.Millisecond, time.Hour)
+	if len(l.begun) == 0 {
+		t.Fatal("nothing is called")
+	}
+	for _, c := range l.begun {
+		if c.lasts < second {
+			t.Errorf("a call to what nothing is known of may take %.1f ms", float64(c.lasts)/float64(choice.Millisecond))
+		}
+	}
+}
