--- a/internal/sender/learnt.go
+++ b/internal/sender/learnt.go
@@ -9,7 +9,6 @@
 	"errors"
 	"io/fs"
 	"maps"
-	"math"
 	"slices"
 
 	"go.uber.org/zap"
@@ -60,9 +59,19 @@
 	s.log.Info("learnt", zap.Int("endpoints", len(s.learnt)), zap.Int("left_out", len(l.Endpoints)-len(s.learnt)))
 }
 
+// What is learnt stays below these; more would pass the highest number where a time-out is made of it, and calls
+// would be given up as they begin.
+const (
+	longestLearnt = 24 * 3600 * choice.Second // of a call, and of a wait, which a restart ends at any rate
+	mostSeen      = 1e15
+)
+
 // sensible tells whether what comes from elsewhere can be believed.
 func sensible(k choice.Learnt) bool {
-	return k.Mean > 0 && k.Dev >= 0 && k.Past > 0 && k.Seen >= 0 && k.Limit >= 0 && k.Wait >= 0 && k.Wait < math.MaxInt32
+	is := func(least, v, most float64) bool { return v >= least && v <= most }
+	const most = float64(longestLearnt)
+	return k.Mean > 0 && is(0, k.Mean, most) && is(0, k.Dev, most) && k.Past > 0 && is(0, k.Past, most) && is(0, k.Seen, mostSeen) &&
+		is(0, k.Limit, mostLimit) && k.Wait >= 0 && k.Wait <= longestLearnt
 }
 
 // unlearn takes what an earlier life learnt out of the file, where it would come back with a start after a kill, and
--- /dev/null
+++ b/internal/sender/learnt_test.go
@@ -0,0 +1,61 @@
+package sender
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"flaxcove/choice"
+)
+
+// A file of what was learnt that is broken, or tells what cannot be, keeps no start from happening, and no call from
+// having its time: its endpoints start afresh.
+func TestBrokenLearnt(t *testing.T) {
+	t.Parallel()
+	const one = `{"at":%d,"endpoints":[{"endpoint":"a","destination":1,"addr":"127.0.0.1:1","Mean":900,"Dev":300,"Past":900,"Seen":9,"Limit":7,"Wait":0}]}`
+	good := fmt.Sprintf(one, at(time.Minute))
+	change := func(old, new string) string { return strings.Replace(good, old, new, 1) }
+	for name, c := range map[string]struct {
+		text  string
+		taken bool
+	}{
+		"good":                {good, true},
+		"of a later time":     {fmt.Sprintf(one, at(time.Hour)), true},
+		"empty":               {"", false},
+		"cut":                 {good[:len(good)/2], false},
+		"null":                {"null", false},
+		"a list":              {"[" + good + "]", false},
+		"zeros":               {strings.Repeat("\x00", 4096), false},
+		"another type":        {change(`"Mean":900`, `"Mean":"900"`), false},
+		"beyond numbers":      {change(`"Mean":900`, `"Mean":1e999`), false},
+		"a mean of ages":      {change(`"Mean":900`, `"Mean":1e300`), false},
+		"a spread of ages":    {change(`"Dev":300`, `"Dev":1e300`), false},
+		"a past of ages":      {change(`"Past":900`, `"Past":1e300`), false},
+		"a limit beyond all":  {change(`"Limit":7`, `"Limit":1e300`), false},
+		"a limit below zero":  {change(`"Limit":7`, `"Limit":-1`), false},
+		"more calls than any": {change(`"Seen":9`, `"Seen":1e300`), false},
+		"an endless wait":     {change(`"Wait":0`, `"Wait":9223372036854775807`), false},
+		"a wait of days":      {change(`"Wait":0`, `"Wait":2000000000`), false},
+	} {
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, learntFile), []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		l := follow(t, startAs(configureFour(dir, 100)))
+		if k := l.s.module.Learnt("a"); (k.Seen == 9 && k.Mean == 900) != c.taken {
+			t.Errorf("%s: %+v", name, k)
+		}
+		room := &client{room: make(chan struct{}, 1), gone: true}
+		room.room <- struct{}{}
+		l.s.command(room, words("OUT.ADD 0 n c=pure,d=8000,dest=1 x"))
+		l.goOn(5*time.Millisecond, time.Hour)
+		if len(l.begun) != 1 {
+			t.Errorf("%s: %d calls", name, len(l.begun))
+		} else if lasts := l.begun[0].lasts; lasts < choice.Second || lasts > 8*choice.Second {
+			t.Errorf("%s: a call may take %.1f ms", name, float64(lasts)/float64(choice.Millisecond))
+		}
+	}
+}
--- /dev/null
+++ b/internal/sender/ready_test.go
@@ -0,0 +1,142 @@
+package sender
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"flaxcove/choice"
+	"flaxcove/internal/config"
+	"flaxcove/internal/directory"
+	"flaxcove/internal/journal"
+)
+
+// readyWithin is the bound of the test: nine in ten have 10 s, and the machine may be a busy one.
+const readyWithin = 10 * time.Second
+
+// fill writes a journal as full as a process lets it get: what it owes, each with its call out if so, and what has
+// ended before that. It returns how many are owed.
+func fill(t *testing.T, dir string, limit int64, body int, make func(i int) *notice, out bool) (owed int) {
+	t.Helper()
+	j, _, err := journal.Open(dir, limit, func([]byte) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := []byte(strings.Repeat("x", body))
+	share := func(part float64) int64 { return int64(part * float64(limit)) }
+	for i := 0; j.Size() < share(fillShare-liveShare); i++ {
+		n := make(-1 - i)
+		n.body = text
+		j.Add(n.record())
+		j.Add(plainRecord(recOver, n.ID))
+	}
+	for live := int64(0); live < share(liveShare) && j.Size() < share(fillShare); owed++ {
+		n := make(owed)
+		n.body = text
+		j.Add(n.record())
+		if live += journal.Framed(len(n.record())) + endRecords; out {
+			j.Add(outRecord(n.ID, n.takenAt, 0, "z"))
+		}
+	}
+	if err := j.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return owed
+}
+
+// A process answers PING in time, whatever its folder holds and whatever discovery does.
+func TestReady(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it fills journals")
+	}
+	wall := func() choice.Time { return config.Down(time.Now().UnixNano()) }
+	usual := func(class, key string, dest choice.DestinationID, past choice.Time) func(i int) *notice {
+		return func(i int) *notice {
+			return taken(fmt.Sprintf("%016x", uint64(i)), fmt.Sprintf(key, i), class, dest, wall()-past, 3600*second)
+		}
+	}
+	list := func(apart bool) directory.List {
+		l := directory.List{Version: 5, Full: true}
+		for i := range 10000 {
+			l.Servers = append(l.Servers, directory.Entry{ID: fmt.Sprint("e", i), Addr: "127.0.0.1:1", Zone: "z", Kind: "one", State: "up", Weight: 1})
+			if apart {
+				l.Servers[i].Cell = float64(i)
+			}
+		}
+		return l
+	}
+	for _, c := range []struct {
+		name   string
+		disk   float64 // megabytes
+		body   int
+		make   func(i int) *notice
+		out    bool
+		list   directory.List
+		torn   bool
+		silent bool
+	}{
+		{name: "nothing"},
+		{name: "smallest", disk: 8, make: usual("pure", "0", 1, second)},
+		{name: "smallest on a large disk", disk: 64, make: usual("pure", "0", 1, second)},
+		{name: "largest", disk: 64, body: 64 << 10, make: usual("pure", "0", 1, second)},
+		{name: "all out", disk: 64, make: usual("single", "%x", 1, second), out: true},
+		{name: "one key", disk: 64, make: usual("line", "5", 1, second)},
+		{name: "one key, all out", disk: 64, make: usual("line", "5", 1, second), out: true},
+		{name: "all too late", disk: 64, make: usual("token", "0", 1, 3601*second)},
+		{name: "nobody there", disk: 64, make: usual("token", "0", 77, second)},
+		{name: "torn", disk: 8, make: usual("pure", "0", 1, second), torn: true},
+		{name: "silent agent", disk: 8, make: usual("pure", "0", 1, second), silent: true},
+		{name: "10000 endpoints of one destination", disk: 8, make: usual("pure", "0", 1, second), list: list(false)},
+		{name: "10000 destinations", disk: 8, make: usual("pure", "0", 1, second), list: list(true), silent: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := t.TempDir()
+			cfg := configureFour(dir, 0)
+			cfg.Limits.DiskMB, cfg.Listen, cfg.Discovery = max(1, c.disk), "127.0.0.1:0", "127.0.0.1:1" // refused
+			owed := 0
+			if c.make != nil {
+				owed = fill(t, dir, int64(c.disk*1e6), c.body, c.make, c.out)
+			}
+			if c.torn {
+				file, err := os.OpenFile(filepath.Join(dir, "notices.log"), os.O_APPEND|os.O_WRONLY, 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				file.Write([]byte{200, 0, 0, 0, 1, 2, 3, 4, 5})
+				file.Close()
+			}
+			if c.silent {
+				silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+				defer silent.Close()
+				defer silent.CloseClientConnections()
+				cfg.Discovery = silent.Listener.Addr().String()
+			}
+			if c.list.Full {
+				cfg.Known = c.list
+			}
+			began := time.Now()
+			s, conn, done := running(t, cfg)
+			conn.SetDeadline(began.Add(readyWithin))
+			io.WriteString(conn, "*1\r\n$4\r\nPING\r\n")
+			var answer [7]byte
+			_, err := io.ReadFull(conn, answer[:])
+			took := time.Since(began)
+			if err != nil || string(answer[:]) != "+PONG\r\n" || took > readyWithin {
+				t.Errorf("%q %v after %v", answer, err, took)
+			}
+			if s.counts.replayed != int64(owed) {
+				t.Errorf("%d owed, %d found", owed, s.counts.replayed)
+			}
+			t.Logf("%d owed, ready after %v", owed, took.Round(time.Millisecond))
+			conn.Close()
+			s.post(func() { s.ended = true })
+			<-done
+		})
+	}
+}
