Client connections end in order: our sending first, then read on until the client's end or a bound

Seen: every end of a client connection by us (idle, silent, half a command, broken, too many bad ones, drained, made room for) was a close right after a look at the socket. What came in between reset the connection, and was taken on although its answer could not be written. A connection that was to end was closed behind its answer over a command that lay unread in the socket. TestEndsInOrder, TestCommandBetweenLookAndShutdown and TestCommandsBeforeTheEnd fail so on the old text, in each case: state closed instead of close-wait, a command taken on, "connection reset by peer". The last moment is forced by a stand-in connection, unread bytes by a stalled poller; nothing sleeps.

At fault: flush (Close at once, without a second look), onBytes (Close behind the error), makeRoom (Close in accept), nothingCame (netpoll's buffer before the socket, so that what moves between the two is missed).

Now clientTable.part decides in one step under the client's gate; a command counted before it is answered, one counted later is passed over. Then SHUT_WR, and what comes is read and dropped until the client's end, half a second, or 288 KiB. netpoll closes as before, so its callbacks run; the descriptor is used under a lock that its close callback takes too. An eighth of the clients' descriptors is kept for those who leave; beyond it the one leaving longest is cut off. One for whom there is no place is not closed without an answer any more: its first bytes are answered -BUSY, 200 ms long. At a planned end nobody is waited for beyond 3.2 s, nothing is taken on from 3.3 s, and the process ends as the last client has.

Ruled out: Detach (its flag races with the poller's close); a second descriptor by dup (may find none left). Open: netpoll reads by itself, so between its readv and its buffer's count, some instructions, bytes are seen by nobody.

--- a/internal/sender/answers_out.go
+++ b/internal/sender/answers_out.go
@@ -70,9 +70,7 @@
 			_, err := c.conn.Write(text)
 			s.post(func() { s.flushed(c, err) })
 		}()
-	case c.closing && c.quiet():
-		c.gone = true
-		c.conn.Close()
+	case c.closing && s.partFrom(c):
 	case c.closing && !c.looking:
 		c.looking = true
 		s.after(settleFor, func() {
--- /dev/null
+++ b/internal/sender/clients_test.go
@@ -0,0 +1,168 @@
+package sender
+
+import (
+	"context"
+	"io"
+	"net"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+	"unsafe"
+
+	"github.com/cloudwego/netpoll"
+
+	"flaxcove/internal/resp"
+)
+
+// What a client's own socket tells of its connection, as the kernel names it.
+const (
+	stateOpen      = 1
+	stateClosed    = 7
+	stateCloseWait = 8 // the other end has ended its sending
+)
+
+const (
+	pingText = "*1\r\n$4\r\nPING\r\n"
+	pongText = "+PONG\r\n"
+)
+
+func addText(id string) string {
+	const list = "c=status,d=6000,dest=1"
+	return string(resp.AppendCommand(nil, []byte("OUT.ADD"), []byte("0"), []byte(id), []byte(list), []byte("x")))
+}
+
+// onSocket calls f with a connection's descriptor.
+func onSocket(t *testing.T, conn net.Conn, f func(fd int)) {
+	t.Helper()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err == nil {
+		err = raw.Control(func(fd uintptr) { f(int(fd)) })
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func state(t *testing.T, conn net.Conn) (state int) {
+	t.Helper()
+	onSocket(t, conn, func(fd int) {
+		info, _ := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_INFO)
+		state = info & 0xff // the first byte of what the kernel tells
+	})
+	return state
+}
+
+// heard tells whether all that was written has come to the other end's system.
+func heard(t *testing.T, conn net.Conn) bool {
+	t.Helper()
+	left := int32(0)
+	onSocket(t, conn, func(fd int) {
+		syscall.Syscall(syscall.SYS_IOCTL, uintptr(fd), syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&left)))
+	})
+	return left == 0
+}
+
+// until waits for what must come within a bound that no working machine reaches.
+func until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never:", what)
+		}
+	}
+}
+
+// inLoop has the loop do something.
+func inLoop(t *testing.T, s *Sender, f func()) {
+	t.Helper()
+	done := make(chan struct{})
+	s.post(func() { f(); close(done) })
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the loop does nothing")
+	}
+}
+
+// clientOf is the sender's side of a connection.
+func clientOf(t *testing.T, s *Sender, conn net.Conn) (c *client) {
+	t.Helper()
+	until(t, "the client is in the table", func() bool {
+		s.clients.Lock()
+		defer s.clients.Unlock()
+		for other := range s.clients.all {
+			if other.peer == conn.LocalAddr().String() {
+				c = other
+			}
+		}
+		return c != nil
+	})
+	return c
+}
+
+// serving is a sender without discovery, and how to connect to it.
+func serving(t *testing.T, sockets int) (s *Sender, dial func(string) net.Conn, done <-chan struct{}) {
+	t.Helper()
+	cfg := configure(t.TempDir(), 100)
+	cfg.Listen, cfg.Discovery, cfg.Limits.Sockets = "127.0.0.1:0", "127.0.0.1:1", sockets
+	s, first, done := running(t, cfg)
+	first.Close()
+	until(t, "the first client is gone", func() bool { return s.clients.count() == 0 })
+	return s, func(text string) net.Conn {
+		t.Helper()
+		conn, err := net.Dial("tcp", s.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(20 * time.Second))
+		t.Cleanup(func() { conn.Close() })
+		io.WriteString(conn, text)
+		return conn
+	}, done
+}
+
+func mustRead(t *testing.T, conn net.Conn, want string) {
+	t.Helper()
+	text := make([]byte, len(want))
+	if _, err := io.ReadFull(conn, text); err != nil || string(text) != want {
+		t.Fatalf("read %q, %v, want %q", text, err, want)
+	}
+}
+
+// stallPollers keeps netpoll from reading anything, so that what comes stays in the sockets, until it is let go.
+func stallPollers(t *testing.T) (letGo func()) {
+	t.Helper()
+	held := make(chan struct{})
+	letGo = sync.OnceFunc(func() { close(held) })
+	t.Cleanup(letGo)
+	for range runtime.GOMAXPROCS(0)/20 + 1 { // so many has netpoll, and each listener takes the next one
+		ln, err := netpoll.CreateListener("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		stalled := make(chan struct{})
+		loop, err := netpoll.NewEventLoop(func(context.Context, netpoll.Connection) error { return nil },
+			netpoll.WithOnPrepare(func(conn netpoll.Connection) context.Context {
+				close(stalled)
+				<-held
+				return nil
+			}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		go loop.Serve(ln) // until the process ends, as the sender's own
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		select {
+		case <-stalled:
+		case <-time.After(20 * time.Second):
+			t.Fatal("netpoll does not come to a stand")
+		}
+	}
+	return letGo
+}
--- a/internal/sender/command.go
+++ b/internal/sender/command.go
@@ -95,11 +95,15 @@
 // refuse tells a client that it may come again, and when, if that is known.
 func (s *Sender) refuse(r *reply, ms int64) {
 	s.counts.refused++
+	s.answer(r, busyText(ms))
+}
+
+func busyText(ms int64) []byte {
 	text := "BUSY"
 	if ms > 0 {
 		text += " " + strconv.FormatInt(ms, 10)
 	}
-	s.answer(r, resp.AppendError(nil, text))
+	return resp.AppendError(nil, text)
 }
 
 func (s *Sender) read(args [][]byte) (*notice, error) {
--- a/internal/sender/command_test.go
+++ b/internal/sender/command_test.go
@@ -93,7 +93,7 @@
 	show()
 	r.clock += halfFor
 	r.s.sweep()
-	fmt.Println("half a command:", half.closing, half.gone)
+	fmt.Println("half a command:", half.closing, half.shut)
 	os.RemoveAll(r.dir)
 	// Output:
 	// true false false false false false
--- a/internal/sender/commands_in.go
+++ b/internal/sender/commands_in.go
@@ -30,7 +30,9 @@
 	if err != nil {
 		return err
 	}
-	if c.deaf.Load() {
+	if s.passOver(c, len(piece)) {
+		s.turnDeaf(c)
+	} else if c.deaf.Load() {
 		c.in = nil
 	} else {
 		c.in = append(c.in, piece...)
@@ -53,18 +55,11 @@
 		}
 		if err != nil {
 			s.turnDeaf(c)
-			if len(c.room) > 0 {
-				c.room <- struct{}{}
+			// The loop ends it, behind all answers; what comes until then is passed over.
+			if s.take(c) {
 				s.post(func() { s.broken(c, err) })
-				return nil
 			}
-			// Nothing else is owed, so it ends here: every moment more it could send at full speed.
-			_, wrong := conn.Write(brokenText(err))
-			s.post(func() {
-				s.counts.badCommands++
-				c.why = badCommand
-			})
-			return errors.Join(wrong, conn.Close())
+			return nil
 		}
 		if took == 0 {
 			break
@@ -72,7 +67,10 @@
 		c.args = args
 		at += took
 		kept, _, _ := resp.Command(append([]byte(nil), c.in[at-took:at]...), nil)
-		c.room <- struct{}{}
+		if !s.take(c) {
+			s.turnDeaf(c)
+			return nil
+		}
 		s.post(func() { s.command(c, kept) })
 		if c.deaf.Load() {
 			s.turnDeaf(c)
--- a/internal/sender/drain.go
+++ b/internal/sender/drain.go
@@ -15,7 +15,8 @@
 	// which a single-use one that is cut off is lost, can end before the process does.
 	lingerFor = 500 * time.Millisecond // clients still come by new connections
 	sendFor   = 2500 * time.Millisecond
-	endAfter  = 3300 * time.Millisecond
+	takeFor   = 3200 * time.Millisecond // what has been read is still answered, but nobody is waited for who may send more
+	endAfter  = 3300 * time.Millisecond // nothing more is taken on; the process ends as the last client has
 	endAnyway = 3500 * time.Millisecond
 )
 
@@ -31,17 +32,22 @@
 	s.draining, s.drainAt = true, s.clock()
 	s.log.Info("draining", zap.Int("owed", len(s.owed)))
 	s.closeIdleClients()
-	s.after(endAfter, func() {})
+	for _, at := range []time.Duration{lingerFor, takeFor, endAfter, endAnyway} {
+		s.after(at, func() {})
+	}
 }
 
 func (s *Sender) checkDrain() {
 	if !s.draining {
 		return
 	}
-	s.closeIdleClients()
 	since := s.sinceDrain()
-	// The process's end would cut off an answer on its way.
-	if since >= endAfter && !s.answersOut() || since >= endAnyway || since >= lingerFor && len(s.owed) == 0 && s.clients.count() == 0 {
+	if since >= endAfter {
+		s.deafen()
+	}
+	s.closeIdleClients()
+	// The process's end resets each connection on which something has come that nobody has read. So clients part before.
+	if since >= endAnyway || (since >= endAfter || since >= lingerFor && len(s.owed) == 0) && s.clients.close() {
 		s.ended = true
 	}
 }
--- /dev/null
+++ b/internal/sender/parting_test.go
@@ -0,0 +1,189 @@
+package sender
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// Each way in which a sender ends a client's connection is in order: what crosses the end does not reset the
+// connection, which could take an answer with it, and is not taken on.
+func TestEndsInOrder(t *testing.T) {
+	const sockets = 64
+	const served, unserved = pingText, ""
+	for _, way := range []struct {
+		name, first, told string
+		end               func(t *testing.T, s *Sender, c *client, conn net.Conn, dial func(string) net.Conn)
+	}{
+		{"idle", served, pongText, func(t *testing.T, s *Sender, c *client, _ net.Conn, _ func(string) net.Conn) {
+			inLoop(t, s, func() { s.closeClient(c, linkIdle) })
+		}},
+		{"silent", unserved, "", func(t *testing.T, s *Sender, c *client, conn net.Conn, dial func(string) net.Conn) {
+			s.clients.Lock()
+			defer s.clients.Unlock()
+			c.came -= silentFor
+		}},
+		{"half a command", "*2\r\n$4\r\nPI", "", func(t *testing.T, s *Sender, c *client, conn net.Conn, dial func(string) net.Conn) {
+			until(t, "half a command is read", func() bool { return c.half.Load() != 0 })
+			c.half.Store(min(-1, c.half.Load()-int64(halfFor)))
+		}},
+		{"broken", "nonsense\r\n", "-ERR protocol: a command is an array of bulk strings\r\n", nil},
+		{"bad", strings.Repeat("*1\r\n$4\r\nNONE\r\n", maxBad), strings.Repeat("-ERR unknown command\r\n", maxBad), nil},
+		{"drained", served, pongText, func(t *testing.T, s *Sender, c *client, conn net.Conn, dial func(string) net.Conn) {
+			s.Drain()
+		}},
+		{"made room for", served, pongText, func(t *testing.T, s *Sender, c *client, conn net.Conn, dial func(string) net.Conn) {
+			for range sockets {
+				if state(t, conn) != stateOpen {
+					return
+				}
+				mustRead(t, dial(pingText), pongText)
+			}
+		}},
+	} {
+		t.Run(way.name, func(t *testing.T) {
+			s, dial, done := serving(t, sockets)
+			conn := dial(way.first)
+			if way.end != nil {
+				c := clientOf(t, s, conn)
+				until(t, "the answer is out", func() bool { return way.first != served || c.rest.Load() != 0 })
+				way.end(t, s, c, conn, dial)
+			}
+			until(t, "the sender ends the connection", func() bool { return state(t, conn) != stateOpen })
+			io.WriteString(conn, addText("crossing"))
+			until(t, "what crosses has come", func() bool { return heard(t, conn) || state(t, conn) == stateClosed })
+			if got := state(t, conn); got != stateCloseWait {
+				t.Errorf("the connection is in state %d, and so was reset", got)
+			}
+			if text, err := io.ReadAll(conn); string(text) != way.told || err != nil {
+				t.Errorf("told %q, %v, want %q", text, err, way.told)
+			}
+			conn.Close()
+			until(t, "its place is free", func() bool {
+				s.clients.Lock()
+				defer s.clients.Unlock()
+				for c := range s.clients.all {
+					if c.peer == conn.LocalAddr().String() {
+						return false
+					}
+				}
+				return true
+			})
+			s.Drain()
+			<-done
+			if s.counts.handedIn != 0 {
+				t.Error("what was read after the end was taken")
+			}
+		})
+	}
+}
+
+// crossing is a connection on which something is made to come in the last moment before its end: at the call of Fd
+// that the shutdown makes, which is the one after the look, or at the close.
+type crossing struct {
+	netpoll.Connection
+	looks int
+	last  func()
+}
+
+func (c *crossing) Fd() int {
+	if c.looks++; c.looks == 2 {
+		c.last()
+	}
+	return c.Connection.(netpoll.Conn).Fd()
+}
+
+func (c *crossing) Close() error {
+	if c.looks < 2 {
+		c.looks = 2
+		c.last()
+	}
+	return c.Connection.Close()
+}
+
+// A command that the reader has in hand between the last look at the socket and the shutdown is not taken on: the end
+// is decided by then, and its answer could not be written.
+func TestCommandBetweenLookAndShutdown(t *testing.T) {
+	s, dial, done := serving(t, 64)
+	conn := dial(pingText)
+	c := clientOf(t, s, conn)
+	until(t, "the answer is out", func() bool { return c.rest.Load() != 0 })
+	inLoop(t, s, func() {
+		c.conn = &crossing{Connection: c.conn, last: func() {
+			io.WriteString(conn, addText("crossing"))
+			until(t, "the reader has the command in hand", func() bool { return c.busy.Load() || len(c.room) > 0 })
+		}}
+		s.closeClient(c, linkIdle)
+	})
+	if text, err := io.ReadAll(conn); string(text) != pongText || err != nil {
+		t.Errorf("told %q, %v", text, err)
+	}
+	conn.Close()
+	s.Drain()
+	<-done
+	if s.counts.handedIn != 0 {
+		t.Error("a command was taken on whose answer cannot be written")
+	}
+}
+
+// A command that is counted before the end is answered, although the end was meant by then; and so is one that lies in
+// the socket unread as the answer before it leaves.
+func TestCommandsBeforeTheEnd(t *testing.T) {
+	s, dial, done := serving(t, 64)
+	conn := dial("")
+	c := clientOf(t, s, conn)
+	letGo := func() {}
+	inLoop(t, s, func() {
+		io.WriteString(conn, pingText)
+		until(t, "the command is counted", func() bool { return len(c.room) == 1 && !c.busy.Load() })
+		s.closeClient(c, linkIdle)
+		letGo = stallPollers(t)
+		io.WriteString(conn, pingText)
+		until(t, "the second has come", func() bool { return heard(t, conn) })
+	})
+	mustRead(t, conn, pongText)
+	until(t, "the end was looked at again", func() (over bool) {
+		inLoop(t, s, func() { over = len(c.room) == 0 })
+		return over
+	})
+	letGo()
+	if text, err := io.ReadAll(conn); string(text) != pongText || err != nil {
+		t.Errorf("told %q, %v", text, err)
+	}
+	conn.Close()
+	s.Drain()
+	<-done
+}
+
+// A client that never ends its side is cut off at the bound, and one that sends on and on behind a broken command is
+// so after a bounded number of bytes.
+func TestPartingIsBounded(t *testing.T) {
+	s, dial, done := serving(t, 64)
+	start := time.Now()
+	still, flood := dial("nonsense\r\n"), dial("nonsense\r\n")
+	c := clientOf(t, s, flood)
+	if _, err := io.Copy(flood, io.LimitReader(zeros{}, 100e6)); err == nil {
+		t.Error("100 MB were read to the end")
+	}
+	if text, err := io.ReadAll(still); !strings.HasPrefix(string(text), "-ERR protocol") || err != nil {
+		t.Errorf("told %q, %v", text, err)
+	}
+	until(t, "both are cut off", func() bool { return s.clients.count() == 0 })
+	if took := time.Since(start); took < partFor || took > 10*partFor {
+		t.Errorf("cut off after %v", took)
+	}
+	s.clients.Lock()
+	if s.clients.served != 0 {
+		t.Errorf("%d places are not free", s.clients.served)
+	}
+	s.clients.Unlock()
+	s.Drain()
+	<-done
+	if limit := mostPassed + 16<<20; c.passed > limit {
+		t.Errorf("%d bytes were passed over", c.passed)
+	}
+}
--- a/internal/sender/rig_test.go
+++ b/internal/sender/rig_test.go
@@ -127,6 +127,7 @@
 func (r *rig) client(conn netpoll.Connection) *client {
 	c := &client{conn: conn, came: r.clock, room: make(chan struct{}, window)}
 	r.s.clients.all[c] = struct{}{}
+	r.s.clients.served++
 	return c
 }
 
--- a/internal/sender/sweep.go
+++ b/internal/sender/sweep.go
@@ -27,7 +27,7 @@
 	for c := range s.clients.all {
 		rest := time.Duration(c.rest.Load())
 		switch half := time.Duration(c.half.Load()); {
-		case c.closing || c.gone:
+		case c.closing || c.gone || c.leaving:
 			over--
 		case half != 0:
 			if now-half >= halfFor {
@@ -67,16 +67,11 @@
 func (s *Sender) clientEnded(c *client) {
 	s.clients.Lock()
 	delete(s.clients.all, c)
+	c.why = cmp.Or(c.shutOf, c.why, peerClosed)
 	s.clients.Unlock()
 	c.gone = true
 	s.flush(c)
 	s.unread.Add(-c.unread) // the reader has ended before
-	if c.why == "" {
-		c.why = peerClosed
-	}
-	if c.cut.Load() {
-		c.why = crowded
-	}
 	s.counts.clientsEnded++
 	s.logEnd("client", c.peer, c.why, nil)
 }
@@ -84,11 +79,12 @@
 // closeIdleClients ends those that nothing is owed, so that they go elsewhere. One that has just come is let hand in
 // what it came with, or its client would find a closed connection twice in a row.
 func (s *Sender) closeIdleClients() {
+	hurry := s.sinceDrain() >= takeFor
 	s.clients.Lock()
 	var idle []*client
 	for c := range s.clients.all {
-		fresh := c.came >= s.drainAt && !c.served && s.clock()-c.came < lingerFor
-		if c.quiet() && !fresh && nothingCame(c.conn) {
+		fresh := !c.served && s.clock()-c.came < lingerFor
+		if hurry || c.quiet() && !fresh && nothingCame(c.conn) {
 			idle = append(idle, c)
 		}
 	}
@@ -98,14 +94,12 @@
 	}
 }
 
-// answersOut tells whether an answer is still being written, or owed.
-func (s *Sender) answersOut() bool {
+// deafen has nothing more taken on, from those who are here and those who come.
+func (s *Sender) deafen() {
 	s.clients.Lock()
 	defer s.clients.Unlock()
+	s.clients.over = true
 	for c := range s.clients.all {
-		if !c.gone && len(c.room) > 0 {
-			return true
-		}
+		c.deaf.Store(true)
 	}
-	return false
 }
--- a/internal/sender/takein.go
+++ b/internal/sender/takein.go
@@ -4,15 +4,17 @@
 // nothing, or nothing that can be read, keep places from the others.
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
 
+	"flaxcove/choice"
 	"flaxcove/internal/config"
 )
 
@@ -43,13 +45,18 @@
 	maxHalf  int64        // of them
 }
 
-// clientTable holds the open clients; each leaves when its connection has ended. Its lock is the only one that
-// the loop shares with the pollers, since a connection must be counted before it is read.
+// clientTable holds the open clients; each leaves when its connection has ended. Its lock is shared by the loop and the
+// pollers, since a connection must be counted before it is read; a client's gate may be taken while it is held, never
+// the other way round, and no connection is closed under either.
 type clientTable struct {
 	sync.Mutex
-	all  map[*client]struct{}
-	most int
-	easy int // up to here nobody is closed for being idle
+	all    map[*client]struct{}
+	most   int    // descriptors of all of them
+	places int    // for those who are served; the rest is for those who leave
+	served int    // neither leaving nor ended
+	easy   int    // up to here nobody is closed for being idle
+	over   bool   // nobody is served any more
+	busy   []byte // what one who finds no place is told
 }
 
 func (t *clientTable) count() int {
@@ -66,12 +73,21 @@
 	busy atomic.Bool   // the reader is at work
 	half atomic.Int64  // since when a command is not whole yet, by the sender's clock; 0 for none
 	rest atomic.Int64  // since when it has had all its answers, likewise; 0 before its first
-	cut  atomic.Bool   // closed to make room
 	deaf atomic.Bool   // nothing more is read: after a broken command nothing tells where the next begins
 
+	gate sync.Mutex // taken last; who sets one of these has the table locked too, but for shut
+	shut bool       // our sending has ended: nothing that is read from here on is taken on
+	// Our sending has not ended, but the client has lost its place: what it sends is answered with a refusal.
+	turned  bool
+	leaving bool // shut, or turned away
+	ended   bool // the descriptor is given back, and may be another connection's by now
+	leftAt  time.Duration
+	shutOf  reason // why it is leaving
+
 	in     []byte // reader
 	args   [][]byte
 	unread int64 // its part of takeIn.unread
+	passed int   // bytes that came once it was leaving
 
 	came    time.Duration // since the start
 	waiting []*reply      // loop: answers owed, in the order of the commands
@@ -95,6 +111,8 @@
 func (t *takeIn) init(cfg *config.Config) {
 	t.clients.all = map[*client]struct{}{}
 	t.clients.most = cfg.Limits.Sockets / 2
+	t.clients.places = t.clients.most - max(1, t.clients.most/8)
+	t.clients.busy = busyText(int64(cfg.Settings.LongestReturn / choice.Millisecond))
 	t.clients.easy = cfg.Limits.Sockets / 4
 	t.maxHalf = max(4*maxInput, cfg.Limits.MemoryMB<<20/16)
 }
@@ -122,61 +140,72 @@
 
 func (s *Sender) onAccept(conn netpoll.Connection) context.Context {
 	c := &client{conn: conn, came: s.clock(), peer: conn.RemoteAddr().String(), room: make(chan struct{}, window)}
-	s.clients.Lock()
-	full := len(s.clients.all) >= s.clients.most && !s.clients.makeRoom(c.came)
-	if !full {
-		s.clients.all[c] = struct{}{}
-	}
-	s.clients.Unlock()
-	if full {
-		s.logEnd("client", c.peer, tooMany, nil)
-		conn.Close()
-		return nil
-	}
 	conn.SetWriteTimeout(writeFor)
 	conn.AddCloseCallback(func(netpoll.Connection) error {
+		s.clients.ended(c)
 		go s.post(func() { s.clientEnded(c) })
 		return nil
 	})
+	leaves, cut := s.clients.enter(c)
+	if cut != nil {
+		cut.conn.Close()
+	}
+	if leaves != nil {
+		s.post(func() { s.boundLeaving(leaves) })
+	}
 	return context.WithValue(context.Background(), clientKey{}, c)
 }
 
-// makeRoom closes one client for another: the one idle longest, if for long enough, else the one that has been
+// enter lets one who has come in. Another may have to leave for it, or it is turned away itself. Beyond what all
+// together may hold, who has been leaving longest is cut off.
+func (t *clientTable) enter(c *client) (leaves, cut *client) {
+	t.Lock()
+	defer t.Unlock()
+	if len(t.all) >= t.most {
+		if cut = t.longestLeaving(); cut != nil {
+			delete(t.all, cut)
+		}
+	}
+	t.all[c] = struct{}{}
+	if !t.over && t.served >= t.places {
+		leaves = t.makeRoom(c.came)
+	}
+	t.served++
+	if t.over || t.served > t.places {
+		t.turnAway(c, c.came, tooMany)
+		leaves = c
+	}
+	return leaves, cut
+}
+
+// makeRoom has one client part for another: the one idle longest, if for long enough, else the one that has been
 // silent longest since it came. Where neither has lasted, the one idle longest goes all the same: it has its answers
-// and comes again, while a new one that is turned away has its first command fail. The table is locked.
-func (t *clientTable) makeRoom(now time.Duration) bool {
-	var idle, dumb *client
+// and comes again. One that has said nothing yet is turned away, as its first command may be on its way. The table is
+// locked.
+func (t *clientTable) makeRoom(now time.Duration) *client {
+	var idle, dumb []*client
 	for c := range t.all {
-		rest := time.Duration(c.rest.Load())
 		switch {
-		case !c.quiet():
-		case rest == 0 && (dumb == nil || c.came < dumb.came):
-			dumb = c
-		case rest != 0 && (idle == nil || rest < time.Duration(idle.rest.Load())):
-			idle = c
+		case c.leaving || !c.quiet():
+		case c.rest.Load() == 0:
+			dumb = append(dumb, c)
+		default:
+			idle = append(idle, c)
 		}
 	}
-	order := []*client{idle, dumb}
-	if dumb != nil && now-dumb.came >= dumbFor && idle != nil && now-time.Duration(idle.rest.Load()) < idleFor {
-		order = []*client{dumb, idle}
+	slices.SortFunc(dumb, func(a, b *client) int { return cmp.Compare(a.came, b.came) })
+	slices.SortFunc(idle, func(a, b *client) int { return cmp.Compare(a.rest.Load(), b.rest.Load()) })
+	order := append(slices.Clone(idle), dumb...)
+	if len(dumb) > 0 && now-dumb[0].came >= dumbFor && len(idle) > 0 && now-time.Duration(idle[0].rest.Load()) < idleFor {
+		order = append(dumb, idle...)
 	}
 	for _, c := range order {
-		if c != nil && nothingCame(c.conn) {
-			c.cut.Store(true)
-			delete(t.all, c)
-			c.conn.Close()
-			return true
+		if c.rest.Load() != 0 && t.part(c, now, crowded, false) {
+			return c
+		}
+		if c.rest.Load() == 0 && nothingCame(c.conn) && t.turnAway(c, now, crowded) {
+			return c
 		}
 	}
-	return false
-}
-
-// nothingCame asks the socket itself, since what has come may not have been handled yet.
-func nothingCame(conn netpoll.Connection) bool {
-	fd, known := conn.(netpoll.Conn)
-	if !known || !conn.IsActive() || conn.Reader().Len() > 0 {
-		return false
-	}
-	_, _, err := syscall.Recvfrom(fd.Fd(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return errors.Is(err, syscall.EAGAIN)
+	return nil
 }
