A planned end counts from its signal, answers all that was read, and parts from every client first

Seen on the old text, each forced by a stalled poller, a blocked loop or moved times, never by waiting: TestEndPartsFromAll: as Run returns, a connection with unread bytes and one with half a command are open, and the process's end resets them. TestEndOfBusyClients: one who sends without end is never parted from. TestCommandsAroundTheSignal: a connection that came just before the signal was closed over its first command. TestLastToCome: one that came as the process ended heard nothing. TestNoPlaceIsAnswered, TestDisplacedIsAnswered: a new connection was closed with no answer where all places were taken, and so was a silent one that had to make room.

Now: from 3.2 s what has been read is answered and then parted from, from 3.3 s who comes is answered -BUSY and the process ends as the last client has, from 3.4 s nobody is read any more, and 3.5 s is the end in any case. main notes the time of the signal before the start. Among those who leave, one that may still speak is cut off last.

Unfounded: a window of commands that is read while its answers wait was answered before (TestEndAnswersWhatWasRead).

--- a/cmd/flaxcove/main.go
+++ b/cmd/flaxcove/main.go
@@ -95,6 +95,7 @@
 	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	told := whenTold(signals)
 	if path := c.String("profile"); path != "" {
 		file, err := os.Create(path)
 		if err != nil {
@@ -117,10 +118,7 @@
 		}
 		defer leave()
 	}
-	go func() {
-		<-signals
-		s.Drain()
-	}()
+	go func() { s.DrainSince(<-told) }()
 	go func() {
 		for range hups {
 			fresh, err := config.Reload(os.Getenv)
@@ -136,6 +134,16 @@
 	return nil
 }
 
+// whenTold tells when the first signal came. The kill counts from then, and the start may take a while yet.
+func whenTold(signals <-chan os.Signal) <-chan time.Time {
+	told := make(chan time.Time, 1)
+	go func() {
+		<-signals
+		told <- time.Now()
+	}()
+	return told
+}
+
 // logger writes a line of JSON for each entry to standard error, and drops none.
 func logger(trace bool) (*zap.Logger, error) {
 	c := zap.NewProductionConfig()
--- a/internal/sender/command_test.go
+++ b/internal/sender/command_test.go
@@ -46,7 +46,7 @@
 // A planned end: no new call leaves late, what is owed stays in the journal, and what comes late is refused.
 func Example_drain() {
 	r := start("", 100)
-	r.s.drain()
+	r.s.drain(r.clock)
 	r.hand("OUT.ADD 00 early c=status,d=6000,dest=1 x").answer(strings.Replace(full, "0.4", "4", 1))
 	r.turn(3 * time.Second)
 	r.hand("OUT.ADD 00 late c=status,d=6000,dest=1 x").owed()
@@ -78,7 +78,7 @@
 	asked.room <- struct{}{}
 	r.s.add(r.s.expect(asked), [][]byte{nil, []byte("0"), []byte("id"), []byte("c=status,d=6000,dest=1"), nil})
 	r.clock += time.Second
-	r.s.drain()
+	r.s.drain(r.clock)
 	late, silent := connect(), connect()
 	show := func() {
 		fmt.Println(idle.closing, half.closing, asked.closing, queued.closing, late.closing, silent.closing)
--- /dev/null
+++ b/internal/sender/crowd_test.go
@@ -0,0 +1,116 @@
+package sender
+
+import (
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+const busyAnswer = "-BUSY 2000\r\n"
+
+// At full places that nobody can leave, one who comes is answered that there is no room. One that says nothing is told
+// nothing, and has its end.
+func TestNoPlaceIsAnswered(t *testing.T) {
+	s, dial, done := serving(t, 64)
+	s.clients.Lock()
+	most := s.clients.most
+	s.clients.Unlock()
+	for range most { // some of which may be for those who leave
+		conn := dial("*2\r\n$4\r\nPI")
+		until(t, "half a command is read, or refused", func() bool {
+			c := clientOf(t, s, conn)
+			return c.half.Load() != 0 || c.busy.Load() || state(t, conn) != stateOpen
+		})
+	}
+	asks, says := dial(addText("new")), dial("")
+	if text, err := io.ReadAll(asks); string(text) != busyAnswer || err != nil {
+		t.Errorf("a new client was told %q, %v", text, err)
+	}
+	if text, err := io.ReadAll(says); len(text) > 0 || err != nil {
+		t.Errorf("a silent client was told %q, %v", text, err)
+	}
+	s.Drain()
+	<-done
+	if s.counts.handedIn != 0 {
+		t.Error("what was refused was taken on")
+	}
+}
+
+// One that has said nothing yet may lose its place to another; what it then says is answered.
+func TestDisplacedIsAnswered(t *testing.T) {
+	s, dial, done := serving(t, 64)
+	first := dial("")
+	clientOf(t, s, first)
+	for range s.clients.places - 1 {
+		clientOf(t, s, dial(""))
+	}
+	mustRead(t, dial(pingText), pongText)
+	if got := state(t, first); got != stateOpen {
+		t.Errorf("the one silent longest is in state %d, closed with no answer", got)
+	}
+	io.WriteString(first, addText("new"))
+	if text, err := io.ReadAll(first); string(text) != busyAnswer || err != nil {
+		t.Errorf("told %q, %v", text, err)
+	}
+	s.Drain()
+	<-done
+}
+
+// Who has sent its first bytes keeps its place, also while nobody has read them; where all have, the new one goes.
+func TestFirstBytesKeepThePlace(t *testing.T) {
+	r := start("", 100)
+	defer os.RemoveAll(r.dir)
+	connect := func(says string) *client {
+		pair, _ := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+		conn, _ := netpoll.NewFDConnection(pair[0])
+		syscall.Write(pair[1], []byte(says))
+		r.clock += time.Second
+		return &client{conn: conn, came: r.clock, room: make(chan struct{}, window)}
+	}
+	table := &r.s.clients
+	table.places = 2
+	spoke, silent, third, fourth := connect("*"), connect(""), connect("*"), connect("*")
+	for _, c := range []*client{spoke, silent} {
+		if leaves, cut := table.enter(c); leaves != nil || cut != nil {
+			t.Fatal("a client had to leave while there were places")
+		}
+	}
+	if leaves, _ := table.enter(third); leaves != silent || silent.shut {
+		t.Errorf("silent: leaving %v, shut %v; spoke: leaving %v", silent.leaving, silent.shut, spoke.leaving)
+	}
+	if leaves, _ := table.enter(fourth); leaves != fourth || fourth.shut {
+		t.Errorf("fourth: leaving %v, shut %v; spoke: leaving %v", fourth.leaving, fourth.shut, spoke.leaving)
+	}
+	if table.served != 2 {
+		t.Errorf("%d are served", table.served)
+	}
+}
+
+// However many come, and never go, the descriptors of all stay within their share, and so do those who are served.
+func TestFloodOfClients(t *testing.T) {
+	s, dial, done := serving(t, 64)
+	var held []net.Conn
+	for i := range 300 {
+		conn := dial("")
+		if i%3 == 0 {
+			io.WriteString(conn, pingText)
+		}
+		held = append(held, conn)
+		s.clients.Lock()
+		if len(s.clients.all) > s.clients.most || s.clients.served > s.clients.places {
+			t.Errorf("%d clients, %d of them served", len(s.clients.all), s.clients.served)
+		}
+		s.clients.Unlock()
+	}
+	mustRead(t, dial(pingText), pongText)
+	for _, conn := range held {
+		conn.Close()
+	}
+	s.Drain()
+	<-done
+}
--- a/internal/sender/drain.go
+++ b/internal/sender/drain.go
@@ -16,24 +16,32 @@
 	lingerFor = 500 * time.Millisecond // clients still come by new connections
 	sendFor   = 2500 * time.Millisecond
 	takeFor   = 3200 * time.Millisecond // what has been read is still answered, but nobody is waited for who may send more
-	endAfter  = 3300 * time.Millisecond // nothing more is taken on; the process ends as the last client has
+	endAfter  = 3300 * time.Millisecond // the process ends as the last client has
+	deafAfter = 3400 * time.Millisecond // nothing more is taken on, even from who sends without end
 	endAnyway = 3500 * time.Millisecond
 )
 
 // Drain begins a planned end; Run returns when it is over.
-func (s *Sender) Drain() { s.post(s.drain) }
+func (s *Sender) Drain() { s.DrainSince(time.Now()) }
+
+// DrainSince is for a signal that came before now: the kill comes at a time that counts from it, whatever the start or
+// the loop, which may be writing the journal, had to do meanwhile.
+func (s *Sender) DrainSince(signal time.Time) {
+	at := signal.Sub(s.start)
+	s.post(func() { s.drain(at) })
+}
 
 func (s *Sender) sinceDrain() time.Duration { return s.clock() - s.drainAt }
 
-func (s *Sender) drain() {
+func (s *Sender) drain(at time.Duration) {
 	if s.draining {
 		return
 	}
-	s.draining, s.drainAt = true, s.clock()
+	s.draining, s.drainAt = true, at
 	s.log.Info("draining", zap.Int("owed", len(s.owed)))
 	s.closeIdleClients()
-	for _, at := range []time.Duration{lingerFor, takeFor, endAfter, endAnyway} {
-		s.after(at, func() {})
+	for _, step := range []time.Duration{lingerFor, takeFor, endAfter, deafAfter, endAnyway} {
+		s.after(step-s.sinceDrain(), func() {})
 	}
 }
 
@@ -43,7 +51,10 @@
 	}
 	since := s.sinceDrain()
 	if since >= endAfter {
-		s.deafen()
+		s.clients.turnAwayAll()
+	}
+	if since >= deafAfter {
+		s.clients.deafen()
 	}
 	s.closeIdleClients()
 	// The process's end resets each connection on which something has come that nobody has read. So clients part before.
--- /dev/null
+++ b/internal/sender/drain_test.go
@@ -0,0 +1,177 @@
+package sender
+
+import (
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"flaxcove/internal/resp"
+)
+
+// ended waits for the process's part to be over.
+func ended(t *testing.T, done <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the planned end has no end")
+	}
+}
+
+// drainedSince begins a planned end as if its signal had come before, and has the loop look at once.
+func drainedSince(t *testing.T, s *Sender, before time.Duration) {
+	t.Helper()
+	inLoop(t, s, func() {
+		s.drain(s.clock() - before)
+		s.checkDrain()
+	})
+}
+
+// The process's end resets what it still holds, so by then our sending to each client has ended: also to one whose
+// bytes nobody has read, one whose command is not whole, and one that has just come and said nothing.
+func TestEndPartsFromAll(t *testing.T) {
+	s, dial, done := serving(t, 64)
+	unread, half, rests, fresh := dial(pingText), dial("*2\r\n$4\r\nPI"), dial(pingText), dial("")
+	mustRead(t, unread, pongText)
+	mustRead(t, rests, pongText)
+	c := clientOf(t, s, half)
+	until(t, "half a command is read", func() bool { return c.half.Load() != 0 })
+	clientOf(t, s, fresh)
+	stallPollers(t) // until the test ends
+	io.WriteString(unread, addText("unread"))
+	until(t, "the command has come", func() bool { return heard(t, unread) })
+	drainedSince(t, s, endAfter)
+	ended(t, done)
+	for name, conn := range map[string]net.Conn{"unread": unread, "half": half, "rests": rests, "fresh": fresh} {
+		if got := state(t, conn); got != stateCloseWait {
+			t.Errorf("%s: state %d as the process ends, which resets it", name, got)
+		}
+	}
+	if s.counts.handedIn != 0 {
+		t.Error("a command was taken on after the end")
+	}
+}
+
+// All that was read is answered before the process ends, more than a window of commands too, and then the process does
+// not wait for its last moment.
+func TestEndAnswersWhatWasRead(t *testing.T) {
+	s, dial, done := serving(t, 64)
+	conn := dial("")
+	c := clientOf(t, s, conn)
+	const commands = 3 * window
+	inLoop(t, s, func() {
+		io.WriteString(conn, strings.Repeat(pingText, commands))
+		until(t, "a window of commands is taken, and the rest read", func() bool { return heard(t, conn) && len(c.room) == window })
+		s.drain(s.clock() - endAfter)
+	})
+	if text, err := io.ReadAll(conn); string(text) != strings.Repeat(pongText, commands) || err != nil {
+		t.Errorf("%d of %d answers, %v", strings.Count(string(text), pongText), commands, err)
+	}
+	conn.Close()
+	ended(t, done)
+	if s.sinceDrain() >= endAnyway {
+		t.Error("the process waited for nobody")
+	}
+}
+
+// One who sends without end, and so is never quiet, is parted from too, and answers to a slow reader arrive whole.
+func TestEndOfBusyClients(t *testing.T) {
+	s, dial, done := serving(t, 64)
+	pump, slow := dial(""), dial("")
+	stop := make(chan struct{})
+	go func() {
+		defer close(stop)
+		for { // until the connection ends
+			if _, err := io.WriteString(pump, strings.Repeat(pingText, 8)); err != nil {
+				return
+			}
+		}
+	}()
+	go io.Copy(io.Discard, pump)
+	c := clientOf(t, s, slow)
+	syscall.SetsockoptInt(c.conn.(netpoll.Conn).Fd(), syscall.SOL_SOCKET, syscall.SO_SNDBUF, 4<<10)
+	const commands = 3 // more than the system holds for who does not read, and less than what has the sender cut it off
+	io.WriteString(slow, strings.Repeat(string(resp.AppendCommand(nil, []byte("PING"), make([]byte, resp.MaxBulk))), commands))
+	until(t, "the answers wait for their reader", func() (wait bool) {
+		inLoop(t, s, func() {
+			wait = c.writing > 0 && len(c.room) > 0 && c.half.Load() == 0 && c.writing+c.outs == len(c.room)
+		})
+		return wait && heard(t, slow)
+	})
+	drainedSince(t, s, sendFor)
+	want := strings.Repeat(string(resp.AppendBulk(nil, make([]byte, resp.MaxBulk))), commands)
+	if text, err := io.ReadAll(slow); string(text) != want || err != nil {
+		t.Errorf("%d of %d bytes of answers, %v", len(text), len(want), err)
+	}
+	slow.Close()
+	until(t, "the pump is parted from", func() bool { return state(t, pump) != stateOpen })
+	ended(t, done)
+	pump.Close()
+	<-stop
+}
+
+// The time until the kill counts from the signal, not from when the loop has time to hear of it, and a second signal
+// changes nothing.
+func TestDrainCountsFromTheSignal(t *testing.T) {
+	s, dial, done := serving(t, 64)
+	var heardAt time.Duration
+	inLoop(t, s, func() {
+		go s.Drain()
+		until(t, "the signal waits for the loop", func() bool { return len(s.inbox) > 0 })
+		heardAt = s.clock()
+	})
+	inLoop(t, s, func() {
+		first := s.drainAt
+		if !s.draining || first >= heardAt {
+			t.Errorf("counts from %v, which is after %v", first, heardAt)
+		}
+		s.drain(s.clock())
+		if s.drainAt != first {
+			t.Error("a second signal begins anew")
+		}
+		s.reload(s.cfg, nil) // a SIGHUP in between changes nothing either
+	})
+	s.Drain()
+	conn := dial(pingText)
+	if text, err := io.ReadAll(conn); string(text) != pongText || err != nil {
+		t.Errorf("a client that came after the signal: %q, %v", text, err)
+	}
+	conn.Close()
+	ended(t, done)
+}
+
+// A client that came just before the signal has its first command on its way; a command that is half read is waited
+// for, and answered.
+func TestCommandsAroundTheSignal(t *testing.T) {
+	s, dial, done := serving(t, 64)
+	fresh, half := dial(""), dial(pingText[:7])
+	clientOf(t, s, fresh)
+	c := clientOf(t, s, half)
+	until(t, "half a command is read", func() bool { return c.half.Load() != 0 })
+	drainedSince(t, s, 0)
+	io.WriteString(fresh, pingText)
+	io.WriteString(half, pingText[7:])
+	for name, conn := range map[string]net.Conn{"fresh": fresh, "half": half} {
+		if text, err := io.ReadAll(conn); string(text) != pongText || err != nil {
+			t.Errorf("%s: %q, %v", name, text, err)
+		}
+		conn.Close()
+	}
+	ended(t, done)
+}
+
+// One who comes as the process is about to end, when nobody is left, is answered.
+func TestLastToCome(t *testing.T) {
+	s, dial, done := serving(t, 64)
+	drainedSince(t, s, lingerFor)
+	ended(t, done)
+	conn := dial(addText("last"))
+	if text, err := io.ReadAll(conn); string(text) != busyAnswer || err != nil {
+		t.Errorf("told %q, %v", text, err)
+	}
+}
--- a/internal/sender/parting.go
+++ b/internal/sender/parting.go
@@ -6,6 +6,7 @@
 // waits for its answer, nor let one that is read later be taken on: its client hands that in elsewhere.
 
 import (
+	"cmp"
 	"errors"
 	"syscall"
 	"time"
@@ -125,6 +126,22 @@
 	return len(t.all) == 0
 }
 
+// turnAwayAll is for those who come from now on.
+func (t *clientTable) turnAwayAll() {
+	t.Lock()
+	defer t.Unlock()
+	t.over = true
+}
+
+// deafen has nothing more taken on from those who are here.
+func (t *clientTable) deafen() {
+	t.Lock()
+	defer t.Unlock()
+	for c := range t.all {
+		c.deaf.Store(true)
+	}
+}
+
 // take counts a command, and waits for room among those without an answer. It tells whether the command is taken:
 // once our sending has ended, its client hands it in elsewhere.
 func (s *Sender) take(c *client) bool {
@@ -158,14 +175,26 @@
 	return true
 }
 
-// longestLeaving is who has been leaving longest. The table is locked.
-func (t *clientTable) longestLeaving() (oldest *client) {
+// longestLeaving is who has been leaving longest; who was turned away and may still speak comes last. The table is
+// locked.
+func (t *clientTable) longestLeaving() *client {
+	var shut, turned *client
 	for c := range t.all {
-		if c.leaving && !c.ended && (oldest == nil || c.leftAt < oldest.leftAt) {
-			oldest = c
+		oldest := &turned
+		if c.isShut() {
+			oldest = &shut
+		}
+		if c.leaving && !c.ended && (*oldest == nil || c.leftAt < (*oldest).leftAt) {
+			*oldest = c
 		}
 	}
-	return oldest
+	return cmp.Or(shut, turned)
+}
+
+func (c *client) isShut() bool {
+	c.gate.Lock()
+	defer c.gate.Unlock()
+	return c.shut
 }
 
 // nothingCame asks the socket itself, since what has come may not have been handled yet, and netpoll's buffer after it:
--- a/internal/sender/sweep.go
+++ b/internal/sender/sweep.go
@@ -93,13 +93,3 @@
 		s.closeClient(c, drained)
 	}
 }
-
-// deafen has nothing more taken on, from those who are here and those who come.
-func (s *Sender) deafen() {
-	s.clients.Lock()
-	defer s.clients.Unlock()
-	s.clients.over = true
-	for c := range s.clients.all {
-		c.deaf.Store(true)
-	}
-}
