Clients take no more descriptors than the system gives, whatever the settings say

Seen (TestFewDescriptors, 96 of 512, a process of its own): settings of 512 sockets under a system limit of 96. Idle clients took all 96, every accept failed from then on, nobody was ever asked to make room, and a new client had no PONG within 20 s; no call, post or dial to discovery could begin either. At fault: takeIn.init and links.init, which share out the settings' figure alone.

--- a/internal/sender/takein.go
+++ b/internal/sender/takein.go
@@ -7,9 +7,11 @@
 	"cmp"
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -117,6 +119,16 @@
 	t.maxHalf = max(4*maxInput, cfg.Limits.MemoryMB<<20/16)
 }
 
+// descriptors are all that the system gives this process. Settings that say more would have clients take those of the
+// journal, the platform and discovery: none could be opened any more, and nothing would ever be given back.
+func descriptors() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return math.MaxInt32
+	}
+	return int(limit.Cur)
+}
+
 func (s *Sender) listen() error {
 	ln, err := netpoll.CreateListener("tcp", s.cfg.Listen)
 	if err != nil {
