No byte of a call leaves out of its window, behind bytes unasked for, or to an old address

What was seen (each test fails on the old text, over loopback sockets): - Open was asked as a connection came up, on a kept one not at all; then a goroutine wrote.

Ruled out: a call that comes up late when over, withdrawn, drained or unlisted carries nothing (TestLateConnection), and TCP_NODELAY is set on what is dialled (TestNoDelay); both tests stay.

The change: leave.go. All calls, on new links and kept ones, are looked at again message by message. The goroutine asks the socket right before the first byte, and the clock before each piece, which it hands to the socket itself. What is left of the gap is a stop of the process between asking the clock and the system call behind it. A write's end now tells for certain whether the last byte left, also where time ran out or we closed: settle tells such a call as one that has not run. A link carries no second call before its write has ended.

--- a/internal/sender/call.go
+++ b/internal/sender/call.go
@@ -6,13 +6,10 @@
 
 import (
 	"encoding/base64"
-	"errors"
 	"slices"
 	"strconv"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"flaxcove/choice"
 	"flaxcove/internal/config"
 	"flaxcove/internal/http1"
@@ -34,6 +31,7 @@
 	kept    bool // its link had carried a call before
 	began   choice.Time
 	lasts   choice.Time // the longest time-out of its notices
+	addr    string      // that is dialled for it
 	link    *link       // once it is up
 	timers  []*timer    // its end and that of notices whose time is over before; taken back once it is over
 	over    bool
@@ -56,7 +54,7 @@
 	}
 	c.timers = append(c.timers, s.after(time.Duration(config.Nanoseconds(c.lasts)), func() { s.expire(c) }))
 	if l := s.takeIdle(c.e); l != nil {
-		s.write(c, l)
+		s.leave(c, l)
 		return
 	}
 	if s.open >= s.mostOpen && !s.closeOldestIdle() || c.e.addr == "" {
@@ -66,6 +64,7 @@
 		return
 	}
 	s.open++
+	c.addr = c.e.addr
 	c.e.links++
 	s.counts.connects++
 	s.dial(c)
@@ -114,49 +113,6 @@
 	return all
 }
 
-// write sends a call on a link. A goroutine does, since netpoll waits where the endpoint reads slowly.
-func (s *Sender) write(c *call, l *link) {
-	c.link, c.kept, l.call, l.writing, l.used = l, l.used, c, true, true
-	l.reading.Lock()
-	l.asked.Store(l.conn.Reader().Len() == 0)
-	l.reading.Unlock()
-	head, body := s.request(c)
-	go func() {
-		err := l.send(head, body)
-		s.post(func() { s.written(l, err) })
-	}()
-}
-
-// send gathers head and body into one write.
-func (l *link) send(head, body []byte) error {
-	w := l.conn.Writer()
-	l.bufferLock.Lock()
-	err := error(netpoll.ErrConnClosed)
-	if !l.noBuffer {
-		_, err = w.WriteBinary(head)
-		if err == nil && len(body) > 0 {
-			_, err = w.WriteBinary(body)
-		}
-	}
-	l.bufferLock.Unlock()
-	if err != nil {
-		return err
-	}
-	return w.Flush()
-}
-
-// written is told how a write ended. One that ran out of time may yet bring its last byte away.
-func (s *Sender) written(l *link, err error) {
-	l.writing = false
-	if err != nil {
-		l.unsent = !errors.Is(err, netpoll.ErrWriteTimeout)
-		s.closeLink(l, unwritten)
-	}
-	if l.ended != nil {
-		s.cutOff(l)
-	}
-}
-
 func (s *Sender) request(c *call) (head, body []byte) {
 	if c.probe {
 		return http1.AppendRequest(nil, "GET", "/-/healthy", c.e.addr, -1), nil
@@ -204,7 +160,19 @@
 	l.call = nil
 	c.over = true
 	s.closeLink(l, gaveUp)
-	s.after(settleFor, func() { s.finish(c, answer{result: choice.TimedOut}) })
+	s.after(settleFor, func() { s.settle(c, l) })
+}
+
+// settle tells of a call that was given up. One whose last byte never left has not run.
+func (s *Sender) settle(c *call, l *link) {
+	switch {
+	case l.writing: // it ends with its connection
+		s.after(settleFor, func() { s.settle(c, l) })
+	case l.unsent:
+		s.finish(c, answer{result: choice.ConnectFailed})
+	default:
+		s.finish(c, answer{result: choice.TimedOut})
+	}
 }
 
 func (s *Sender) connectFailed(c *call) {
--- /dev/null
+++ b/internal/sender/leave.go
@@ -0,0 +1,168 @@
+package sender
+
+// This file lets calls leave: it owns the last look at a call on a link that is up, and the write itself. It must never
+// let a byte leave once a call's time or a window for repeats is over, let a call leave behind bytes that nobody asked
+// for, nor tell that a call may have run of which a byte never left.
+
+import (
+	"errors"
+	"math"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"flaxcove/choice"
+)
+
+// Between two tries to write to an endpoint that reads slowly. netpoll would write the rest by itself, whenever the
+// endpoint reads on: also after the window of a repeat, where the process stood still.
+const (
+	firstPause = time.Millisecond
+	lastPause  = 8 * time.Millisecond
+)
+
+// How a write ends early. In each case the call's last byte has not left.
+var (
+	errHeld  = errors.New("its time was over before its first byte")
+	errLate  = errors.New("its time was over before its last byte")
+	errEnded = errors.New("the connection had ended, or something had come on it")
+)
+
+// leave sends a call on a link that is up, without the messages that may not leave any more. Where none may, the call
+// is over and the link idles.
+func (s *Sender) leave(c *call, l *link) {
+	if s.mayLeave(c, l) {
+		s.write(c, l)
+		return
+	}
+	s.makeIdle(l)
+	if !c.over {
+		c.own = true
+		s.connectFailed(c)
+	}
+}
+
+// mayLeave asks again what was asked as the call was laid up: since then its endpoint may have told to wait, drained
+// or moved, its time may be over, or a repeat's window. Connections come up late, a journal may be slow, and a process
+// that stood still hears of its connections before its timers.
+func (s *Sender) mayLeave(c *call, l *link) bool {
+	if c.over || s.Now() >= c.began+c.lasts || l.astray() || !s.module.Open(c.e.id) {
+		return false
+	}
+	for _, n := range append([]*notice(nil), c.notices...) {
+		if s.Now() > s.windowEnd(n) || !s.module.Open(c.e.id, n.ID) {
+			s.part(c, n)
+		}
+	}
+	return c.probe || len(c.notices) > 0
+}
+
+// windowEnd is the last moment at which a message may leave as a repeat: a turn before its window is over, for its way.
+func (s *Sender) windowEnd(n *notice) choice.Time {
+	w := &s.cfg.Settings.Workloads[n.Workload]
+	if !n.MayRun || w.Repeat != choice.Tokened {
+		return math.MaxInt64
+	}
+	return n.RanAt + w.RepeatWindow - s.cfg.Settings.Turn
+}
+
+// write sends a call on a link. A goroutine does, since an endpoint may read slowly.
+func (s *Sender) write(c *call, l *link) {
+	c.link, c.kept, l.call, l.writing = l, l.used, c, true
+	until := c.began + c.lasts - 1
+	for _, n := range c.notices {
+		until = min(until, s.windowEnd(n))
+	}
+	head, body := s.request(c)
+	go func() {
+		err := l.send(append(head, body...), until)
+		s.post(func() { s.written(l, err) })
+	}()
+}
+
+// send writes all of a request, or tells that its last byte has not left. It ends when its time is over at the latest.
+func (l *link) send(text []byte, until choice.Time) error {
+	if !l.ask() {
+		return errEnded
+	}
+	all := len(text)
+	for pause := firstPause; ; pause = min(2*pause, lastPause) {
+		n, err := l.push(text, until)
+		if text = text[n:]; errors.Is(err, errLate) && len(text) == all {
+			return errHeld
+		}
+		if err != nil || len(text) == 0 {
+			return err
+		}
+		time.Sleep(pause)
+	}
+}
+
+// ask takes what comes from now on for the answer, unless something has come, or the end: then nothing may leave. It
+// stands right before the first byte, as bytes of an idle link may come in any moment until then.
+func (l *link) ask() bool {
+	l.reading.Lock()
+	defer l.reading.Unlock()
+	l.bufferLock.Lock()
+	defer l.bufferLock.Unlock()
+	quiet := !l.noBuffer && nothingCame(l.conn)
+	l.asked.Store(quiet)
+	return quiet
+}
+
+// push writes what the socket takes. The clock is asked right before, so that nothing but a stop of the process
+// between these two lines lets a byte leave late.
+func (l *link) push(text []byte, until choice.Time) (int, error) {
+	l.bufferLock.Lock()
+	defer l.bufferLock.Unlock()
+	fd, known := l.conn.(netpoll.Conn)
+	if l.noBuffer || !known || !l.conn.IsActive() {
+		return 0, errEnded
+	}
+	if l.s.Now() > until {
+		return 0, errLate
+	}
+	n, err := syscall.SendmsgN(fd.Fd(), text, nil, nil, 0)
+	if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) {
+		return 0, nil
+	}
+	return max(0, n), err
+}
+
+// written is told how a write ended.
+func (s *Sender) written(l *link, err error) {
+	l.writing = false
+	early := l.early
+	l.early = nil
+	switch {
+	case errors.Is(err, errHeld) && l.call != nil && !l.closing:
+		// The process stood still, or a window ended just now. Who is still in time goes on.
+		c := l.call
+		l.call, c.link = nil, nil
+		l.asked.Store(false)
+		s.leave(c, l)
+		return
+	case err != nil:
+		l.unsent = true
+		s.closeLink(l, unwritten)
+	default:
+		l.used = true
+	}
+	if l.ended != nil {
+		s.cutOff(l)
+	} else if early != nil {
+		s.makeIdle(l)
+	}
+}
+
+// answeredEarly bounds the rest of a write whose call has been answered: until then the link carries no other call, or
+// the bytes of two would mix.
+func (s *Sender) answeredEarly(l *link, c *call) {
+	l.call, l.early = nil, c
+	s.after(restFor, func() {
+		if l.early == c {
+			s.closeLink(l, unwritten)
+		}
+	})
+}
--- a/internal/sender/links.go
+++ b/internal/sender/links.go
@@ -35,6 +35,7 @@
 type link struct {
 	s      *Sender
 	e      *endpoint
+	addr   string // that was dialled
 	conn   netpoll.Connection
 	answer http1.Answer
 
@@ -45,15 +46,17 @@
 	reading sync.Mutex
 	halfway bool // netpoll's callback: the loop knows that the answer has begun
 
-	// netpoll drops a closed connection's buffers, and laying bytes up in them then ends the process.
+	// netpoll closes the descriptor and drops the buffers of a connection that has ended; the number may be another's
+	// by the next moment. Who writes to it or looks at it off the loop holds this lock, behind that of reading.
 	bufferLock sync.Mutex
 	noBuffer   bool
 
 	call    *call // loop, as all below
 	began   *call // whose answer has begun
 	writing bool
-	used    bool // it has carried a call
-	unsent  bool // the last write did not bring its last byte away
+	early   *call // that was answered before its write had ended
+	used    bool  // it has carried a call
+	unsent  bool  // the last write did not bring its last byte away
 	ended   *partial
 	idleAt  time.Duration
 	idleEnd *timer // set while it is idle
@@ -113,8 +116,7 @@
 		s.connectFailed(c)
 		return
 	}
-	l := &link{s: s, e: c.e, conn: conn}
-	conn.SetWriteTimeout(time.Duration(config.Nanoseconds(max(1, c.lasts))))
+	l := &link{s: s, e: c.e, addr: c.addr, conn: conn}
 	conn.AddCloseCallback(func(netpoll.Connection) error {
 		// The loop may be the one that closes, so this must not wait for it.
 		l.bufferLock.Lock()
@@ -129,28 +131,25 @@
 		// It ended before netpoll knew whom to tell.
 		conn.Close()
 	}
-	switch {
-	case c.over:
-		s.makeIdle(l)
-	case s.Now() >= c.began+c.lasts, !s.module.Open(c.e.id, c.ids()...):
-		// Told to wait, or of a drain, while the connection came up, or that took too long: the call must not leave.
-		// A process that stood still hears of its connections before its timers.
-		s.makeIdle(l)
-		c.own = true
-		s.connectFailed(c)
-	default:
-		s.write(c, l)
-	}
+	s.leave(c, l)
 }
 
+// astray tells whether a link leads to where its endpoint is not, or not any more: at its old address there may be
+// another one, of another destination.
+func (l *link) astray() bool { return l.e.gone || l.addr != l.e.addr }
+
 func (s *Sender) makeIdle(l *link) {
 	l.call = nil
 	if l.closing {
 		return
 	}
-	if l.e.gone {
+	switch {
+	case l.e.gone:
 		s.closeLink(l, unlisted)
 		return
+	case l.astray():
+		s.closeLink(l, moved)
+		return
 	}
 	l.e.idle = append(l.e.idle, l)
 	l.idleAt = s.sinceStart()
--- /dev/null
+++ b/internal/sender/links_test.go
@@ -0,0 +1,100 @@
+package sender
+
+import (
+	"syscall"
+	"testing"
+
+	"github.com/cloudwego/netpoll"
+)
+
+const movedA = `{"version":2,"full":false,"servers":[{"id":"a","addr":"127.0.0.1:7","zone":"z","kind":"one","cell":1,"state":"up","weight":100}]}`
+
+// A connection that was on its way to the address at which an endpoint was before it moved must carry no call to
+// whoever is there now.
+func TestLateConnectionToOldAddress(t *testing.T) {
+	for _, over := range []bool{false, true} {
+		conn, peer := met(t, false)
+		r := start(t.TempDir(), 100)
+		r.hand("OUT.ADD 00 id c=order,d=20000,dest=1 x")
+		c := r.calls[0]
+		r.list(movedA)
+		c.over = over
+		r.s.dialed(c, conn, nil)
+		if n := len(r.s.endpoints["a"].idle); n != 0 || c.link != nil {
+			t.Errorf("over %v: idle %d, left %v", over, n, c.link != nil)
+		}
+		if text := allHeard(peer); text != "" {
+			t.Errorf("over %v: the old address heard %q", over, text)
+		}
+		if n := r.s.owed["id"]; n == nil || n.MayRun {
+			t.Error("what never left is taken for one that may have run")
+		}
+	}
+}
+
+// A link that was busy as its endpoint moved must not idle for the next call.
+func TestBusyLinkToOldAddress(t *testing.T) {
+	conn, peer := met(t, false)
+	r := start(t.TempDir(), 100)
+	r.hand("OUT.ADD 00 id c=order,d=20000,dest=1 xyz")
+	c := r.calls[0]
+	r.s.dialed(c, conn, nil)
+	heardBy(t, peer, "xyz")
+	r.list(movedA)
+	peer.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	r.pump(t, "the call ends", func() bool { return c.over && !c.link.writing })
+	if n := len(r.s.endpoints["a"].idle); n != 0 {
+		t.Errorf("%d idle links to an address of before", n)
+	}
+	if r.s.owed["id"] != nil {
+		t.Error("the answer on the link does not count any more")
+	}
+}
+
+// A connection that comes up once its call is over, its endpoint drained or not listed any more, carries nothing. It
+// may idle for the next call, but not where the endpoint is gone.
+func TestLateConnection(t *testing.T) {
+	const drained = `{"version":2,"full":false,"servers":[{"id":"a","addr":"127.0.0.1:1","zone":"z","kind":"one","cell":1,"state":"draining","weight":100}]}`
+	const gone = `{"version":2,"full":false,"servers":[{"id":"a","addr":"","cell":1,"state":"removed"}]}`
+	for _, of := range []struct {
+		name  string
+		comes func(*rig, *call)
+		idle  int
+	}{
+		{"call over", func(r *rig, c *call) { r.s.expire(c) }, 1},
+		{"message withdrawn and call over", func(r *rig, c *call) { r.s.owed["id"].withdrawn = true; r.s.expire(c) }, 1},
+		{"drained", func(r *rig, _ *call) { r.list(drained) }, 1},
+		{"unlisted", func(r *rig, _ *call) { r.list(gone) }, 0},
+		{"parted", func(r *rig, c *call) { r.s.part(c, r.s.owed["id"]) }, 1},
+	} {
+		conn, peer := met(t, false)
+		r := start(t.TempDir(), 100)
+		r.hand("OUT.ADD 00 id c=order,d=20000,dest=1 x")
+		c, e := r.calls[0], r.s.endpoints["a"]
+		of.comes(r, c)
+		r.s.dialed(c, conn, nil)
+		if !c.over || c.link != nil || len(e.idle) != of.idle {
+			t.Errorf("%s: over %v, left %v, idle %d", of.name, c.over, c.link != nil, len(e.idle))
+		}
+		if n := r.s.owed["id"]; n != nil && (n.MayRun || n.out != nil) {
+			t.Errorf("%s: may have run %v, out %v", of.name, n.MayRun, n.out != nil)
+		}
+		for _, l := range e.idle {
+			r.s.dropIdle(l, unneeded)
+		}
+		if text := allHeard(peer); text != "" {
+			t.Errorf("%s: the endpoint heard %q", of.name, text)
+		}
+		r.pump(t, "the connection is forgotten", func() bool { return r.s.open == 0 && e.links == 0 })
+	}
+}
+
+// Small writes must not be held back: a close over unread bytes would take them along.
+func TestNoDelay(t *testing.T) {
+	conn, _ := met(t, false)
+	r := start(t.TempDir(), 100)
+	l := r.rest(t, "a", conn)
+	if on, err := syscall.GetsockoptInt(l.conn.(netpoll.Conn).Fd(), syscall.IPPROTO_TCP, syscall.TCP_NODELAY); on != 1 || err != nil {
+		t.Errorf("TCP_NODELAY: %d, %v", on, err)
+	}
+}
--- a/internal/sender/relay.go
+++ b/internal/sender/relay.go
@@ -105,11 +105,11 @@
 func cutOff(c *call, unsent bool, end *partial) answer {
 	a := answer{result: choice.Reset}
 	switch {
-	case unsent && !end.began:
-		a.result = choice.ConnectFailed
 	case end.status == 200 && len(c.notices) == 1:
 		// The first line alone says that a call with one notice is delivered; any other proves nothing.
 		a.result, a.final = choice.Done, true
+	case unsent:
+		a.result = choice.ConnectFailed
 	case end.began:
 		a.result = choice.Spoilt
 	}
@@ -130,10 +130,13 @@
 		return
 	}
 	c.over = true
-	if a.close || a.spoilt(c) {
+	switch {
+	case a.close || a.spoilt(c):
 		l.call = nil
 		s.closeLink(l, askedClose)
-	} else {
+	case l.writing:
+		s.answeredEarly(l, c)
+	default:
 		s.makeIdle(l)
 	}
 	s.finish(c, a)
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -1,7 +1,7 @@
 // Package sender is the gateway on sockets: a chain of units around the decisions of package choice.
 //
 // A notice passes takein.go and commands_in.go (client connections), command.go and admit.go (checks, journal,
-// answer), route.go (the module's Host), call.go and links.go (calls and connections), relay.go (answers to outcomes)
+// answer), route.go (the module's Host), call.go, leave.go and links.go (calls, connections), relay.go (answers to outcomes)
 // and book.go (ends, notices to the platform, counters). Where a sender is joined to others (joined.go), digest.go
 // tells what it saw, purge.go withdraws what it holds, and holding.go lets go of what it learnt. This file owns the
 // one goroutine that holds the module, the tables and the timers, and the turn in which all that has come in is acted
