--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -55,7 +55,7 @@
 		if start := "HTTP/1."; string(buf[:min(len(buf), len(start))]) != start[:min(len(buf), len(start))] {
 			return 0, ErrHead
 		}
-		if len(buf) > MaxHead {
+		if len(buf) >= MaxHead {
 			return 0, ErrSize
 		}
 		return 0, nil
@@ -82,8 +82,8 @@
 	at := bytes.IndexByte(buf, '\n') + 1
 	for {
 		end := bytes.IndexByte(buf[at:], '\n')
-		if end < 0 || at+end > MaxHead {
-			if len(buf) > MaxHead {
+		if end < 0 || at+end >= MaxHead {
+			if len(buf) >= MaxHead {
 				return 0, ErrSize
 			}
 			return 0, nil
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -59,6 +60,43 @@
 	// 0 done=false close=false "" broken answer head
 }
 
+// A head of the greatest size is read and one above is not, in whatever pieces it comes. The same holds for a status
+// line alone, and for what comes behind interim answers.
+func TestGreatestHead(t *testing.T) {
+	for _, interim := range []string{"", "HTTP/1.1 100 On\r\n\r\n"} {
+		for _, of := range []struct{ start, end string }{
+			{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: ", "\r\n\r\n"}, {"HTTP/1.1 200 ", "\r\nContent-Length: 2\r\n\r\n"},
+		} {
+			for _, above := range []int{0, 1} {
+				head := of.start + strings.Repeat("x", MaxHead+above-len(of.start)-len(of.end)) + of.end
+				for _, size := range []int{1, 1000, MaxHead - 1, MaxHead, MaxHead + 1, 1 << 20} {
+					a, err := feed(interim+head+"ok", size)
+					if read := a.Done && string(a.Body) == "ok" && err == nil; read != (above == 0) || above > 0 && err != ErrSize {
+						t.Errorf("%.15q, %d above, pieces of %d: %v, done %v", of.start, above, size, err, a.Done)
+					}
+				}
+			}
+		}
+	}
+}
+
+// A body of the greatest size is read and one above is not, with a length and in chunks.
+func TestGreatestBody(t *testing.T) {
+	for _, above := range []int{0, 1} {
+		body := strings.Repeat("x", MaxBody+above)
+		for _, text := range []string{
+			fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body),
+			fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+		} {
+			for _, size := range []int{4096, 1 << 20} {
+				if a, err := feed(text, size); a.Done != (above == 0) || above > 0 && err != ErrSize {
+					t.Errorf("%.50q, %d above, pieces of %d: %v, done %v", text, above, size, err, a.Done)
+				}
+			}
+		}
+	}
+}
+
 func ExampleHead_Get() {
 	a, _ := feed("HTTP/1.1 429 Wait\r\nRetry-After:  1.5 \r\nx-load: x0=0.4,x1=25\r\nContent-Length: 0\r\n\r\nbehind", 3)
 	fmt.Printf("%s %s %v %d\n", a.Get("retry-after"), a.Get("X-Load"), a.Get("X-No-Slot") == nil, a.Left())
