Interim answers do not start an answer's time; a table of what each end of a call tells

- After a 1xx the final answer had to come within 250 ms, or the link was closed and the call taken for one that may have run (TestInterimAnswer fails on the old text; reading.go, read: the first bytes of any kind set halfway).
- relay.go has a table of what each end of a call tells of its message, and TestEnds, TestEndsBundle and TestEndsUnconnected a case for each row, over loopback sockets.

Ruled out by these rows: a 200 counts as delivered only with its first line whole, and a bundle's only as a whole; two answers at once, wrong lengths and noise end the link and tell each call once.

--- /dev/null
+++ b/internal/sender/ends_test.go
@@ -0,0 +1,241 @@
+package sender
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+
+	"flaxcove/choice"
+)
+
+// The rows of the table at the head of relay.go, over loopback sockets: what each end of a call tells of its message.
+func TestEnds(t *testing.T) {
+	const no, may, over = "has not run", "may have run", "is over"
+	says := func(text string) func(*testing.T, *rig, *call, *net.TCPConn) {
+		return func(t *testing.T, r *rig, c *call, peer *net.TCPConn) {
+			heardBy(t, peer, "xyz")
+			peer.Write([]byte(strings.ReplaceAll(text, "\n", "\r\n")))
+			peer.Close()
+		}
+	}
+	begins := func(text string, then func(*rig, *call, *net.TCPConn)) func(*testing.T, *rig, *call, *net.TCPConn) {
+		return func(t *testing.T, r *rig, c *call, peer *net.TCPConn) {
+			if n := c.notices[0]; len(n.body) == 3 {
+				heardBy(t, peer, string(n.body))
+			}
+			peer.Write([]byte(strings.ReplaceAll(text, "\n", "\r\n")))
+			r.pump(t, "the answer begins", func() bool { return c.link.began == c })
+			then(r, c, peer)
+		}
+	}
+	resets := func(_ *rig, _ *call, peer *net.TCPConn) { reset(peer) }
+	ends := func(r *rig, c *call, _ *net.TCPConn) { r.s.expire(c) }
+	for _, row := range []struct {
+		name   string
+		narrow bool // its last byte does not leave
+		does   func(*testing.T, *rig, *call, *net.TCPConn)
+		result choice.Result
+		tells  string
+	}{
+		{"reset before the last byte", true, func(_ *testing.T, r *rig, c *call, peer *net.TCPConn) { reset(peer) }, choice.ConnectFailed, no},
+		{"reset before it, behind half an answer", true, begins("HTTP/1.1 503 Full\nCont", resets), choice.ConnectFailed, no},
+		{"given up before it", true, func(_ *testing.T, r *rig, c *call, _ *net.TCPConn) { r.s.expire(c) }, choice.ConnectFailed, no},
+		{"given up before it, behind half an answer", true, begins("HTTP/1.1 503 Full\nCont", ends), choice.ConnectFailed, no},
+		{"200 before it, then reset", true, begins("HTTP/1.1 200 OK\nCont", resets), choice.Done, over},
+		{"reset after it", false, func(t *testing.T, _ *rig, _ *call, peer *net.TCPConn) { heardBy(t, peer, "xyz"); reset(peer) }, choice.Reset, may},
+		{"closed after it", false, says(""), choice.Reset, may},
+		{"time over", false, func(t *testing.T, r *rig, c *call, peer *net.TCPConn) {
+			heardBy(t, peer, "xyz")
+			r.pump(t, "it is written", func() bool { return !c.link.writing })
+			r.s.expire(c)
+		}, choice.TimedOut, may},
+		{"time over behind a first line with 200", false, begins("HTTP/1.1 200 OK\nContent-Length: 9\n\nok", ends), choice.Done, over},
+		{"time over behind half a first line", false, begins("HTTP/1.1 2", ends), choice.Spoilt, may},
+		{"half a first line", false, says("HTTP/1.1 2"), choice.Spoilt, may},
+		{"a first line with 200 but for its end", false, says("HTTP/1.1 200 OK"), choice.Spoilt, may},
+		{"a first line with 503, cut", false, says("HTTP/1.1 503 Full\nCont"), choice.Spoilt, may},
+		{"a first line with 200, cut", false, says("HTTP/1.1 200 OK\nCont"), choice.Done, over},
+		{"a first line with 200, then noise", false, says("HTTP/1.1 200 OK\nnoise\x00\n\n"), choice.Done, over},
+		{"a first line with 200, two lengths", false, says("HTTP/1.1 200 OK\nContent-Length: 1\nContent-Length: 2\n\nok"), choice.Done, over},
+		{"noise", false, says("\x00\xff\x01"), choice.Spoilt, may},
+		{"an interim answer alone", false, says("HTTP/1.1 102 On\n\n"), choice.Reset, may},
+		{"an interim answer, then half a first line", false, says("HTTP/1.1 102 On\n\nHTTP/1.1 20"), choice.Spoilt, may},
+		{"an interim answer, then 200", false, says("HTTP/1.1 100 On\n\n" + ok), choice.Done, over},
+		{"two answers at once", false, says(ok + lost), choice.Done, over},
+		{"two answers at once, the other way", false, says(lost + ok), choice.Errored, may},
+		{"200", false, says(ok), choice.Done, over},
+		{"410", false, says("HTTP/1.1 410 Gone\nContent-Length: 0\n\n"), choice.Moot, over},
+		{"429", false, says(full), choice.Full, no},
+		{"503", false, says("HTTP/1.1 503 Full\nContent-Length: 0\n\n"), choice.Full, no},
+		{"503, no slot", false, says("HTTP/1.1 503 Full\nX-No-Slot: 1\nContent-Length: 0\n\n"), choice.Moot, no},
+		{"504", false, says("HTTP/1.1 504 Out\nContent-Length: 0\n\n"), choice.Moot, no},
+		{"413", false, says("HTTP/1.1 413 Large\nContent-Length: 0\n\n"), choice.Moot, no},
+		{"500", false, says(lost), choice.Errored, may},
+		{"204", false, says("HTTP/1.1 204 None\n\n"), choice.Errored, may},
+		{"202", false, says("HTTP/1.1 202 Later\nContent-Length: 0\n\n"), choice.Errored, may},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			conn, peer := met(t, row.narrow)
+			r := start(t.TempDir(), 100)
+			body := "xyz"
+			if row.narrow {
+				body = strings.Repeat("x", 60000)
+			}
+			r.hand("OUT.ADD 00 id c=order,d=20000,dest=1 " + body)
+			c, n := r.calls[0], r.s.owed["id"]
+			r.s.dialed(c, conn, nil)
+			if row.narrow {
+				if _, err := peer.Read(make([]byte, 1)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			row.does(t, r, c, peer)
+			r.pump(t, "the write ends", func() bool { return !c.link.writing })
+			if n.out != nil && c.over {
+				r.turn(3 * settleFor) // it was given up
+			}
+			r.pump(t, "the call ends", func() bool { return n.out == nil })
+			if row.narrow {
+				if s := allHeard(peer); strings.Count(s, "x") >= len(body) {
+					t.Fatal("the row's last byte has left")
+				}
+			}
+			if r.s.counts.outcomes[row.result] != 1 {
+				t.Errorf("outcomes %v, want one %s", r.s.counts.outcomes, resultNames[row.result])
+			}
+			tells := no
+			if n.MayRun {
+				tells = may
+			} else if r.s.owed["id"] == nil {
+				tells = over
+			}
+			if tells != row.tells {
+				t.Errorf("its message %s, want: %s", tells, row.tells)
+			}
+		})
+	}
+}
+
+// The rows without a connection: refused, never up, no address.
+func TestEndsUnconnected(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := ln.Addr().String()
+	ln.Close()
+	for name, sets := range map[string]func(*rig){
+		"refused":    func(r *rig) { r.s.endpoints["a"].addr = closed },
+		"no address": func(r *rig) { r.s.endpoints["a"].addr = "" },
+		"no place":   func(r *rig) { r.s.mostOpen = 0 },
+	} {
+		r := start(t.TempDir(), 100)
+		r.s.dial = r.s.connect
+		sets(r)
+		r.hand("OUT.ADD 00 id c=order,d=20000,dest=1 x")
+		n := r.s.owed["id"]
+		r.pump(t, name, func() bool { return n.out == nil })
+		if n.MayRun || r.s.counts.outcomes[choice.ConnectFailed] != 1 || r.s.open != 0 {
+			t.Errorf("%s: may run %v, outcomes %v, open %d", name, n.MayRun, r.s.counts.outcomes, r.s.open)
+		}
+	}
+	r := start(t.TempDir(), 100)
+	r.hand("OUT.ADD 00 id c=order,d=20000,dest=1 x")
+	r.s.expire(r.calls[0])
+	if n := r.s.owed["id"]; n.MayRun || n.out != nil || r.s.counts.outcomes[choice.ConnectFailed] != 1 {
+		t.Errorf("never up: may run %v, out %v", n.MayRun, n.out != nil)
+	}
+}
+
+// The rows of a bundle: only its whole answer tells.
+func TestEndsBundle(t *testing.T) {
+	const states = `[{"id":"o1","state":"ok"},{"id":"o2","state":"later"}]`
+	for _, row := range []struct {
+		name, text string
+		o1, o2     choice.Result
+	}{
+		{"whole", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(states), states), choice.Done, choice.Full},
+		{"cut", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(states), states[:len(states)-1]), choice.Spoilt, choice.Spoilt},
+		{"length too short", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(states)-1, states), choice.Spoilt, choice.Spoilt},
+		{"first line alone", "HTTP/1.1 200 OK\r\n", choice.Spoilt, choice.Spoilt},
+		{"full", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", choice.Full, choice.Full},
+		{"nothing", "", choice.Reset, choice.Reset},
+	} {
+		conn, peer := met(t, false)
+		r := start(t.TempDir(), 100)
+		r.hand("OUT.ADD 0 o1 c=order,d=20000,dest=2 xyz", "OUT.ADD 0 o2 c=order,d=20000,dest=2 xyz")
+		c, n1, n2 := r.calls[0], r.s.owed["o1"], r.s.owed["o2"]
+		r.s.dialed(c, conn, nil)
+		heardBy(t, peer, "]")
+		peer.Write([]byte(row.text))
+		peer.Close()
+		r.pump(t, row.name, func() bool { return n1.out == nil && n2.out == nil })
+		var want [choice.Spoilt + 1]int64
+		want[row.o1]++
+		want[row.o2]++
+		if r.s.counts.outcomes != want {
+			t.Errorf("%s: outcomes %v, want %v", row.name, r.s.counts.outcomes, want)
+		}
+	}
+}
+
+// An answer may come before the request's end. Its link must carry no other call until then, or the bytes of both
+// mix, and is given up if the endpoint does not read the rest soon.
+func TestAnswerBeforeRequestEnds(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		conn, peer := met(t, true)
+		r := start(t.TempDir(), 100)
+		body := strings.Repeat("x", 60000)
+		r.hand("OUT.ADD 00 first c=order,d=20000,dest=1 " + body)
+		c, e := r.calls[0], r.s.endpoints["a"]
+		r.s.dialed(c, conn, nil)
+		l := c.link
+		if _, err := peer.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+		peer.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		r.pump(t, "the call ends", func() bool { return c.over })
+		if len(e.idle) != 0 || r.s.owed["first"] != nil {
+			t.Errorf("idle %d while a request is written, delivered %v", len(e.idle), r.s.owed["first"] == nil)
+		}
+		if reads {
+			if text := heardBy(t, peer, body); !strings.HasPrefix(text, "OST /inbox") {
+				t.Errorf("heard %.20q", text)
+			}
+			r.pump(t, "the write ends", func() bool { return !l.writing })
+		} else {
+			l.bufferLock.Lock()
+			r.clock += 2 * restFor
+			l.bufferLock.Unlock()
+			r.s.turn()
+			r.pump(t, "the link ends", func() bool { return r.s.open == 0 && !l.writing })
+		}
+		if idle := len(e.idle) == 1; idle != reads || l.closing == reads {
+			t.Errorf("rest read %v: idle %v, closing %v", reads, idle, l.closing)
+		}
+	}
+}
+
+// Interim answers tell nothing: they must not start the time in which the rest of an answer is due.
+func TestInterimAnswer(t *testing.T) {
+	conn, peer := met(t, false) // read by the test alone
+	l := &link{conn: conn}
+	l.asked.Store(true)
+	conn.SetReadTimeout(meetFor)
+	for _, piece := range []struct {
+		text string
+		told bool
+	}{{"HTTP/1.1 102 On\r\n\r\n", false}, {"HTTP/1.1 100 On\r\n\r\nHTTP/1.1 103 On\r\nLink: x\r\n\r\n", false}, {"HTTP/1.1 2", true}, {"00 OK\r\n", false}} {
+		peer.Write([]byte(piece.text))
+		if _, err := conn.Reader().Peek(len(piece.text)); err != nil {
+			t.Fatal(err)
+		}
+		if tell, err := l.read(conn); (tell != nil) != piece.told || err != nil {
+			t.Errorf("%q: told %v, %v", piece.text, tell != nil, err)
+		}
+	}
+	if l.answer.Status() != 200 {
+		t.Errorf("status %d", l.answer.Status())
+	}
+}
--- a/internal/sender/reading.go
+++ b/internal/sender/reading.go
@@ -58,7 +58,8 @@
 		l.halfway = false
 		return func() { l.s.answered(l, a) }, nil
 	}
-	if err == nil && !l.halfway {
+	// Interim answers begin nothing: they come because the endpoint will take long.
+	if err == nil && !l.halfway && l.answer.Began() {
 		l.halfway = true
 		return func() { l.s.answerBegan(l) }, nil
 	}
--- a/internal/sender/relay.go
+++ b/internal/sender/relay.go
@@ -2,6 +2,25 @@
 
 // This file relays: it owns the meaning of endpoints' answers and tells the module each call's outcome. It must
 // never tell of one dispatch twice, nor call something proven not to have run where that is not certain.
+//
+// What the end of a call tells of its message (leave.go and call.go find out which end it was; TestEnds has the rows):
+//
+//	how it ended                                                        result          has it run?
+//	refused, never up, no address or place for a connection             ConnectFailed   never
+//	up too late: call over, endpoint moved, drained or told to wait     ConnectFailed   never
+//	one message's time or window over before the first byte             Moot            never
+//	link ended or spoke before the first byte, on new and kept links    ConnectFailed   never
+//	reset, closed or given up before the last byte, whatever had come   ConnectFailed   never, but for a 200 below
+//	reset or closed after it, nothing had come but interim answers      Reset           may have
+//	its time over after it, likewise                                    TimedOut        may have; may yet run
+//	one message's time over in a bundle that was written                Cancelled       may have; may yet run
+//	a first line with 200, whole, of a call with one message            Done            yes, however it went on
+//	any other beginning of an answer, and noise                         Spoilt          may have
+//	an answer, whole: 200                                               Done            yes; a bundle as it says
+//	429, 503                                                            Full            never
+//	503 with X-No-Slot, 400, 404, 410, 413, 504                         Moot            never
+//	any other status                                                    Errored         may have
+//	a bundle's 200 that leaves a message out, or is none                Spoilt          may have
 
 import (
 	"bytes"
