--- a/internal/sender/descriptors_test.go
+++ b/internal/sender/descriptors_test.go
@@ -59,6 +59,7 @@
 	}
 	s.Drain()
 	<-done
+	fmt.Println("was handed", s.counts.handedIn)
 }
 
 // narrowed is such a process.
