Nobody is turned away whose commands the reader has in hand; the test of first bytes holds netpoll still

Seen by reading, then forced in TestFirstBytesKeepThePlace (reader marked busy: turned away on the text before): near a planned end, of several commands that the reader had in hand only the first would have been answered. turnAway now asks as part does.

--- a/internal/sender/crowd_test.go
+++ b/internal/sender/crowd_test.go
@@ -63,6 +63,7 @@
 
 // Who has sent its first bytes keeps its place, also while nobody has read them; where all have, the new one goes.
 func TestFirstBytesKeepThePlace(t *testing.T) {
+	stallPollers(t) // what comes stays in the sockets
 	r := start("", 100)
 	defer os.RemoveAll(r.dir)
 	connect := func(says string) *client {
@@ -86,6 +87,10 @@
 	if leaves, _ := table.enter(fourth); leaves != fourth || fourth.shut {
 		t.Errorf("fourth: leaving %v, shut %v; spoke: leaving %v", fourth.leaving, fourth.shut, spoke.leaving)
 	}
+	spoke.busy.Store(true)
+	if table.turnAway(spoke, r.clock, drained) || spoke.leaving {
+		t.Error("one whose commands the reader has in hand was turned away")
+	}
 	if table.served != 2 {
 		t.Errorf("%d are served", table.served)
 	}
--- a/internal/sender/parting.go
+++ b/internal/sender/parting.go
@@ -72,12 +72,12 @@
 }
 
 // turnAway takes a client's place, but not its connection yet: a command that finds its new connection closed without
-// an answer has failed, so its first bytes are answered. It tells whether nothing of the client's is with us. The table
-// is locked.
+// an answer has failed, so its first bytes are answered. It tells whether it could, which is not so while the reader
+// has something in hand: of several commands only the first would be answered. The table is locked.
 func (t *clientTable) turnAway(c *client, now time.Duration, why reason) bool {
 	c.gate.Lock()
 	defer c.gate.Unlock()
-	if c.leaving || c.ended || len(c.room) > 0 {
+	if c.leaving || c.ended || c.conn.Reader().Len() > 0 || c.busy.Load() || len(c.room) > 0 {
 		return false
 	}
 	c.turned = true
--- a/internal/sender/takein.go
+++ b/internal/sender/takein.go
@@ -184,7 +184,10 @@
 	}
 	t.served++
 	if t.over || t.served > t.places {
-		t.turnAway(c, c.came, tooMany)
+		c.gate.Lock()
+		c.turned = true // nothing has been read yet
+		t.leave(c, c.came, tooMany)
+		c.gate.Unlock()
 		leaves = c
 	}
 	return leaves, cut
