Who sends without end is parted from 0.2 s before the process ends, not 0.1 s

Seen: TestEndOfBusyClients failed once in 100 runs, with two more streams of tests beside it and a load of 15: a client that sends without end had not been parted from when Run returned. Not read any more from 3.4 s on, it needed its answers written and the loop's next look by 3.5 s. Now nobody is waited for from 3.1 s (was 3.2), and nothing is taken on from 3.3 s (was 3.4): all that comes since 2.5 s is refused at once, so nothing is lost by it. TestFreshAtTheEnd: one who came and said nothing is answered near the end too.

--- a/internal/sender/drain.go
+++ b/internal/sender/drain.go
@@ -15,9 +15,8 @@
 	// which a single-use one that is cut off is lost, can end before the process does.
 	lingerFor = 500 * time.Millisecond // clients still come by new connections
 	sendFor   = 2500 * time.Millisecond
-	takeFor   = 3200 * time.Millisecond // what has been read is still answered, but nobody is waited for who may send more
-	endAfter  = 3300 * time.Millisecond // the process ends as the last client has
-	deafAfter = 3400 * time.Millisecond // nothing more is taken on, even from who sends without end
+	takeFor   = 3100 * time.Millisecond // what has been read is still answered, but nobody is waited for who may send more
+	endAfter  = 3300 * time.Millisecond // nothing more is taken on, and the process ends as its last client has
 	endAnyway = 3500 * time.Millisecond
 )
 
@@ -40,7 +39,7 @@
 	s.draining, s.drainAt = true, at
 	s.log.Info("draining", zap.Int("owed", len(s.owed)))
 	s.closeIdleClients()
-	for _, step := range []time.Duration{lingerFor, takeFor, endAfter, deafAfter, endAnyway} {
+	for _, step := range []time.Duration{lingerFor, takeFor, endAfter, endAnyway} {
 		s.after(step-s.sinceDrain(), func() {})
 	}
 }
@@ -51,9 +50,6 @@
 	}
 	since := s.sinceDrain()
 	if since >= endAfter {
-		s.clients.turnAwayAll()
-	}
-	if since >= deafAfter {
 		s.clients.deafen()
 	}
 	s.closeIdleClients()
--- a/internal/sender/drain_test.go
+++ b/internal/sender/drain_test.go
@@ -67,7 +67,7 @@
 	inLoop(t, s, func() {
 		io.WriteString(conn, strings.Repeat(pingText, commands))
 		until(t, "a window of commands is taken, and the rest read", func() bool { return heard(t, conn) && len(c.room) == window })
-		s.drain(s.clock() - endAfter)
+		s.drain(s.clock() - takeFor)
 	})
 	if text, err := io.ReadAll(conn); string(text) != strings.Repeat(pongText, commands) || err != nil {
 		t.Errorf("%d of %d answers, %v", strings.Count(string(text), pongText), commands, err)
@@ -165,6 +165,25 @@
 	ended(t, done)
 }
 
+// One who has come and said nothing by the end is not closed without an answer to what it then says.
+func TestFreshAtTheEnd(t *testing.T) {
+	s, dial, done := serving(t, 64)
+	conn := dial("")
+	c := clientOf(t, s, conn)
+	drainedSince(t, s, takeFor)
+	inLoop(t, s, func() {
+		if !c.leaving || c.isShut() {
+			t.Errorf("leaving %v, its connection closed with no answer %v", c.leaving, c.isShut())
+		}
+		io.WriteString(conn, addText("late"))
+	})
+	if text, err := io.ReadAll(conn); string(text) != busyAnswer || err != nil {
+		t.Errorf("told %q, %v", text, err)
+	}
+	conn.Close()
+	ended(t, done)
+}
+
 // One who comes as the process is about to end, when nobody is left, is answered.
 func TestLastToCome(t *testing.T) {
 	s, dial, done := serving(t, 64)
--- a/internal/sender/parting.go
+++ b/internal/sender/parting.go
@@ -126,17 +126,11 @@
 	return len(t.all) == 0
 }
 
-// turnAwayAll is for those who come from now on.
-func (t *clientTable) turnAwayAll() {
-	t.Lock()
-	defer t.Unlock()
-	t.over = true
-}
-
-// deafen has nothing more taken on from those who are here.
+// deafen has nothing more taken on, from those who are here and those who come.
 func (t *clientTable) deafen() {
 	t.Lock()
 	defer t.Unlock()
+	t.over = true
 	for c := range t.all {
 		c.deaf.Store(true)
 	}
