Who was turned away near the end is parted from before the process ends

Seen: TestEndPartsFromAll failed once in 100 runs: two connections were open as Run returned. They had been turned away at 3.3 s, their time to speak was over at 3.5 s, and so was the process's: the timer set first fired first. Forced by TestTurnedAwayAtTheVeryEnd, which fails on the text before. At fault: checkDrain, which ended at endAnyway without a look at who is left.

--- a/internal/sender/drain.go
+++ b/internal/sender/drain.go
@@ -54,7 +54,10 @@
 	}
 	s.closeIdleClients()
 	// The process's end resets each connection on which something has come that nobody has read. So clients part before.
-	if since >= endAnyway || (since >= endAfter || since >= lingerFor && len(s.owed) == 0) && s.clients.close() {
+	if since >= endAnyway {
+		s.clients.partAll(s.clock())
+		s.ended = true
+	} else if (since >= endAfter || since >= lingerFor && len(s.owed) == 0) && s.clients.close() {
 		s.ended = true
 	}
 }
--- a/internal/sender/drain_test.go
+++ b/internal/sender/drain_test.go
@@ -184,6 +184,25 @@
 	ended(t, done)
 }
 
+// Who was turned away a moment before the process ends anyway is parted from, whichever timer fires first.
+func TestTurnedAwayAtTheVeryEnd(t *testing.T) {
+	s, dial, done := serving(t, 64)
+	conn := dial("")
+	c := clientOf(t, s, conn)
+	inLoop(t, s, func() {
+		s.drain(s.clock() - takeFor)
+		if !c.leaving || c.isShut() {
+			t.Errorf("leaving %v, shut %v", c.leaving, c.isShut())
+		}
+		s.drainAt -= endAnyway - takeFor
+		s.checkDrain()
+	})
+	ended(t, done)
+	if got := state(t, conn); got != stateCloseWait {
+		t.Errorf("state %d as the process ends", got)
+	}
+}
+
 // One who comes as the process is about to end, when nobody is left, is answered.
 func TestLastToCome(t *testing.T) {
 	s, dial, done := serving(t, 64)
--- a/internal/sender/parting.go
+++ b/internal/sender/parting.go
@@ -136,6 +136,15 @@
 	}
 }
 
+// partAll is for the last moment: who was turned away late may still have had time to speak.
+func (t *clientTable) partAll(now time.Duration) {
+	t.Lock()
+	defer t.Unlock()
+	for c := range t.all {
+		t.part(c, now, drained, true)
+	}
+}
+
 // take counts a command, and waits for room among those without an answer. It tells whether the command is taken:
 // once our sending has ended, its client hands it in elsewhere.
 func (s *Sender) take(c *client) bool {
