--- a/internal/sender/parting.go
+++ b/internal/sender/parting.go
@@ -72,12 +72,12 @@
 }
 
 // turnAway takes a client's place, but not its connection yet: a command that finds its new connection closed without
-// an answer has failed, so its first bytes are answered. It tells whether nothing of the client's is with us. The table
-// is locked.
+// an answer has failed, so its first bytes are answered. It tells whether it could, which is not so while the reader
+// has something in hand: of several commands only the first would be answered. The table is locked.
 func (t *clientTable) turnAway(c *client, now time.Duration, why reason) bool {
 	c.gate.Lock()
 	defer c.gate.Unlock()
-	if c.leaving || c.ended || len(c.room) > 0 {
+	if c.leaving || c.ended || c.conn.Reader().Len() > 0 || c.busy.Load() || len(c.room) > 0 {
 		return false
 	}
 	c.turned = true
@@ -126,19 +126,22 @@
 	return len(t.all) == 0
 }
 
-// turnAwayAll is for those who come from now on.
-func (t *clientTable) turnAwayAll() {
+// deafen has nothing more taken on, from those who are here and those who come.
+func (t *clientTable) deafen() {
 	t.Lock()
 	defer t.Unlock()
 	t.over = true
+	for c := range t.all {
+		c.deaf.Store(true)
+	}
 }
 
-// deafen has nothing more taken on from those who are here.
-func (t *clientTable) deafen() {
+// partAll is for the last moment: who was turned away late may still have had time to speak.
+func (t *clientTable) partAll(now time.Duration) {
 	t.Lock()
 	defer t.Unlock()
 	for c := range t.all {
-		c.deaf.Store(true)
+		t.part(c, now, drained, true)
 	}
 }
 
