Discovery that can be reached again is heard within six seconds, whatever calls had met

Seen: after a failed call the next waited by fleet size, up to 30 s, and a patient call could hang 6 to 12 s more. TestOutage on the old text: up to 43.0 s from reachable to heard (300 senders, head only), 14.2 s with one sender. A call that was begun patiently also kept its patience after its first list: half a message there held for 6 s (TestSlowThenHalf: 9.9 s after the last sign of life).

Ruled out: the clock of silence itself (silence after a list: 3.8 s at most on both texts). A second call without the first one read on: an answer with 503 after two seconds is then taken for silence.

At fault: ladder.next (one wait for all failures), call.until (Patient in place of Head, First and Whole, for the only call), ladder.patient.

Change: the next call begins at most Told - Head - Slack after the one before began, whatever became of that. A call that stalls before its first sign of life is read on beside the next, one at most; the first to show life is the watch. An error status keeps the spread by fleet size, where all senders inside the bound would come closer than Apart on average (from 25 senders on).

Measured by the tests: 5.85 s at most, four faults in a row with 300 senders and three with 1, 24 and 80; 80 senders at a discovery that takes ten calls a second have all a watch after 36.8 s, 34.9 s where its 503 takes two seconds. Price over 300 senders, discovery gone for 8 s: 118 calls a second at most where it is silent, 134 where it refuses (18 and 21 before, and half of the senders without a watch 12 s later).

Open: 300 senders at a discovery that takes ten calls a second get no watch in three minutes, before and after, as 30 s at most have them ask more than ten times a second.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -31,37 +31,69 @@
 )
 
 var (
-	errSilent = errors.New("silent")
-	errEnded  = errors.New("the watch was ended")
-	errLong   = errors.New("a message is too long")
+	errSilent  = errors.New("silent")
+	errEnded   = errors.New("the watch was ended")
+	errLong    = errors.New("a message is too long")
+	errStopped = errors.New("stopped")
+	errBeside  = errors.New("an earlier call has spoken")
 )
 
-// call is one call for the list.
+// call is one call for the list. It belongs to a goroutine of its own, but for the fields of the watcher.
 type call struct {
 	w     *watcher
 	ctx   context.Context
+	stop  context.CancelFunc
 	conn  net.Conn
+	since int64
 	began time.Time
-	slow  bool      // it may take its time
+	slow  bool      // it has stalled and may take its time, up to its first sign of life
 	left  int       // bytes that may yet come before a sign of life
 	head  bool      // its answer's head has come
+	busy  bool      // that was an error status
 	lived bool      // a sign of life has come
+	heard time.Time // the last one
 	late  bool      // what was due has not come; kept here, as the head's reader takes a line that stops for a broken one
 	half  time.Time // when the first byte of a message came that is not whole yet; zero for none
 	body  io.Reader
+
+	// The watcher's.
+	spoke bool // it has told of life
+}
+
+func (w *watcher) begin(ctx context.Context) *call {
+	c := &call{w: w, since: w.since, began: time.Now(), left: maxHead}
+	c.ctx, c.stop = context.WithCancel(ctx)
+	go c.follow()
+	return c
+}
+
+// post hands the watcher an event. It waits no longer than the call may last.
+func (c *call) post(e event) {
+	e.call = c
+	select {
+	case c.w.events <- e:
+	case <-c.ctx.Done():
+	}
 }
 
-func (w *watcher) call(ctx context.Context) *call {
-	return &call{w: w, ctx: ctx, began: time.Now(), slow: w.ladder.patient(), left: maxHead}
+func (c *call) stall(stage string) {
+	c.post(event{what: stalled, err: fmt.Errorf("%w: %s", errSilent, stage)})
 }
 
-// follow calls, and reads until the connection ends. It returns how and why it did.
-func (c *call) follow() (ending, error) {
-	ctx, cancel := context.WithDeadline(c.ctx, c.until())
+// follow calls, and reads until the connection ends.
+func (c *call) follow() {
+	how, err := c.end(c.connect())
+	c.post(event{what: over, how: how, err: err})
+}
+
+func (c *call) connect() error {
+	ctx, cancel := context.WithDeadline(c.ctx, c.began.Add(c.w.waits.Patient))
+	late := time.AfterFunc(time.Until(c.until()), func() { c.stall(noConnection) })
 	conn, err := c.w.dial(ctx, c.w.addr)
 	cancel()
+	c.slow = !late.Stop()
 	if err != nil {
-		return c.end(err)
+		return err
 	}
 	c.conn = conn
 	// Reading ends with the watch, and not only at the next byte.
@@ -70,14 +102,14 @@
 		stopped()
 		conn.Close()
 	}()
-	return c.end(c.read())
+	return c.read()
 }
 
 func (c *call) read() error {
 	if err := c.conn.SetWriteDeadline(c.until()); err != nil {
 		return err
 	}
-	ask := path + "?follow=1&since=" + strconv.FormatInt(c.w.since, 10)
+	ask := path + "?follow=1&since=" + strconv.FormatInt(c.since, 10)
 	if _, err := c.conn.Write(http1.AppendRequest(nil, "GET", ask, c.w.addr, -1)); err != nil {
 		return err
 	}
@@ -85,6 +117,7 @@
 	if err != nil {
 		return err
 	}
+	c.busy = answer.StatusCode >= http.StatusBadRequest
 	if answer.StatusCode != http.StatusOK || !slices.Contains(answer.TransferEncoding, "chunked") {
 		return fmt.Errorf("status %d, chunked %v", answer.StatusCode, len(answer.TransferEncoding) > 0)
 	}
@@ -94,9 +127,7 @@
 		if err := d.Decode(&l); err != nil {
 			return err
 		}
-		c.alive()
-		c.w.since = l.Version
-		c.w.news(l)
+		c.alive(&l)
 		if rest, err := io.ReadAll(d.Buffered()); err == nil && len(bytes.TrimSpace(rest)) > 0 {
 			c.half = time.Now()
 		}
@@ -107,6 +138,8 @@
 func (c *call) end(err error) (ending, error) {
 	var slow net.Error
 	switch {
+	case c.busy:
+		return busy, err
 	case c.late, errors.As(err, &slow) && slow.Timeout():
 		return silent, fmt.Errorf("%w: %s", errSilent, c.stage())
 	case errors.Is(err, io.EOF) && c.head:
@@ -120,11 +153,13 @@
 	return refused, err
 }
 
+const noConnection = "no connection"
+
 // stage says what was waited for.
 func (c *call) stage() string {
 	switch {
 	case c.conn == nil:
-		return "no connection"
+		return noConnection
 	case !c.head:
 		return "no answer"
 	case !c.half.IsZero():
@@ -148,11 +183,13 @@
 	case !c.half.IsZero():
 		return c.half.Add(whole)
 	}
-	return c.w.heard.Add(w.Quiet)
+	return c.heard.Add(w.Quiet)
 }
 
-func (c *call) alive() {
-	c.w.heard, c.lived, c.half, c.left = time.Now(), true, time.Time{}, maxList
+// alive notes a sign of life, a message or blanks, and tells the watcher.
+func (c *call) alive(l *List) {
+	c.heard, c.lived, c.slow, c.half, c.left = time.Now(), true, false, time.Time{}, maxList
+	c.post(event{what: life, list: l})
 }
 
 // Read is the decoder's: of the messages, what has come.
@@ -161,7 +198,7 @@
 	switch {
 	case n == 0 || !c.half.IsZero():
 	case len(bytes.TrimSpace(p[:n])) == 0:
-		c.alive()
+		c.alive(nil)
 	default:
 		c.half = time.Now()
 	}
@@ -176,7 +213,13 @@
 		return 0, errLong
 	}
 	n, err := c.readBy(p[:min(len(p), c.left)], c.until())
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.lived && c.half.IsZero() {
+	switch {
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+	case !c.lived && !c.slow:
+		c.slow = true
+		c.stall(c.stage())
+		n, err = c.readBy(p[:min(len(p), c.left)], c.until())
+	case c.lived && c.half.IsZero():
 		n, err = c.readBy(p[:min(len(p), c.left)], time.Now().Add(glance))
 	}
 	c.left, c.late = c.left-n, errors.Is(err, os.ErrDeadlineExceeded)
