An endpoint that moves keeps no connection or waiting call of the place it left

Seen, each by a test that fails on the old text: - An endpoint told at another address while a call to it was out: the connection rested after the answer and carried the next call to the place that was left (TestMovedUnderCall).

Ruled out by tests that pass on both texts: an empty whole list and one that lacks endpoints are obeyed, versions may go back, removals of strangers leave nothing behind, endpoints twice in a message: the last counts.

At fault: listNews (new address and destination written into the endpoint that links and calls hold), makeIdle and dialed (ask only whether the endpoint is gone or shut by id), Names.Entries (takes what is missing for zero).

Change: one that moved is another endpoint by the same name; the one before is gone, and its links and calls end with what is out. List.Filled puts in what a change by the id leaves out.

--- a/internal/directory/list.go
+++ b/internal/directory/list.go
@@ -45,6 +45,30 @@
 
 var stages = map[string]choice.Stage{"up": choice.Ready, "draining": choice.Draining, "removed": choice.Gone}
 
+// Filled is the list with what entries leave out that end an endpoint's service by its id alone: the rest stands as the
+// list has it before, or as known has it. Taken as they are they would name a destination that nobody told of. Ones of
+// endpoints that nobody knows change nothing and are left out.
+func (l List) Filled(known func(id string) (Entry, bool)) List {
+	before, filled := map[string]Entry{}, make([]Entry, 0, len(l.Servers))
+	for _, e := range l.Servers {
+		if stage, read := stages[e.State]; read && stage != choice.Ready && e.Addr == "" && e.ID != "" {
+			was, found := before[e.ID]
+			if !found {
+				was, found = known(e.ID)
+			}
+			if !found {
+				continue
+			}
+			was.State = e.State
+			e = was
+		}
+		before[e.ID] = e
+		filled = append(filled, e)
+	}
+	l.Servers = filled
+	return l
+}
+
 // Entries are those of a list as the module takes them. Ones that cannot be read are left out and counted.
 func (n *Names) Entries(l List) (entries []choice.Entry, unread int) {
 	for _, e := range l.Servers {
--- a/internal/sender/call.go
+++ b/internal/sender/call.go
@@ -59,7 +59,7 @@
 		s.write(c, l)
 		return
 	}
-	if s.open >= s.mostOpen && !s.closeOldestIdle() || c.e.addr == "" {
+	if s.open >= s.mostOpen && !s.closeOldestIdle() || c.e.addr == "" || c.e.gone {
 		s.logEnd("endpoint", string(c.e.id), crowded, nil)
 		c.own = true
 		s.connectFailed(c)
--- a/internal/sender/links.go
+++ b/internal/sender/links.go
@@ -132,8 +132,8 @@
 	switch {
 	case c.over:
 		s.makeIdle(l)
-	case s.Now() >= c.began+c.lasts, !s.module.Open(c.e.id, c.ids()...):
-		// Told to wait, or of a drain, while the connection came up, or that took too long: the call must not leave.
+	case s.Now() >= c.began+c.lasts, c.e.gone, !s.module.Open(c.e.id, c.ids()...):
+		// Told to wait, of a drain, or that the endpoint is gone or elsewhere, while the connection came up, or that took too long: the call must not leave.
 		// A process that stood still hears of its connections before its timers.
 		s.makeIdle(l)
 		c.own = true
--- /dev/null
+++ b/internal/sender/listnews_test.go
@@ -0,0 +1,231 @@
+package sender
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"flaxcove/choice"
+	"flaxcove/internal/directory"
+	"flaxcove/internal/resp"
+)
+
+// listed has a sender of the rig hear lists and tells what it then takes the endpoints for.
+func listed(t *testing.T, lists ...string) (*rig, map[choice.EndpointID]string) {
+	r := start("", 100)
+	t.Cleanup(func() { os.RemoveAll(r.dir) })
+	for _, text := range lists {
+		r.list(text)
+	}
+	all := map[choice.EndpointID]string{}
+	for id, e := range r.s.endpoints {
+		all[id] = fmt.Sprintf("%s dest %d kind %d ready %v gone %v", e.addr, e.dest, e.kind, e.ready, e.gone)
+	}
+	return r, all
+}
+
+// What lists may say that is odd. One that lacks an endpoint is obeyed; one that cannot be read changes nothing.
+func TestOddLists(t *testing.T) {
+	const (
+		a     = "127.0.0.1:1 dest 1 kind 0 ready true gone false"
+		b     = "127.0.0.1:2 dest 2 kind 1 ready true gone false"
+		z     = "127.0.0.1:9 dest 9 kind 0 ready false gone false"
+		entry = `{"id":"%s","addr":"%s","zone":"z","kind":"one","cell":%d,"state":"%s","weight":100}`
+	)
+	delta := func(version int, entries string) string {
+		return fmt.Sprintf(`{"version":%d,"full":false,"servers":[%s]}`, version, entries)
+	}
+	for name, c := range map[string]struct {
+		lists []string
+		want  map[choice.EndpointID]string
+	}{
+		"whole and empty":       {[]string{`{"version":2,"full":true,"servers":[]}`}, nil},
+		"whole, without a":      {[]string{`{"version":2,"full":true,"servers":[` + fmt.Sprintf(entry, "q", "h:3", 2, "up") + `]}`}, map[choice.EndpointID]string{"q": "h:3 dest 2 kind 0 ready true gone false"}},
+		"whole, none read":      {[]string{`{"version":2,"full":true,"servers":[{"id":"a","state":"odd"},{"name":"b"}]}`}, map[choice.EndpointID]string{"a": a, "b": b, "z": z}},
+		"a change without any":  {[]string{`{"version":2}`, `{"version":3,"servers":null}`}, map[choice.EndpointID]string{"a": a, "b": b, "z": z}},
+		"a version goes back":   {[]string{delta(9, fmt.Sprintf(entry, "a", "127.0.0.1:1", 1, "draining")), delta(1, fmt.Sprintf(entry, "a", "127.0.0.1:1", 1, "up"))}, map[choice.EndpointID]string{"a": a, "b": b, "z": z}},
+		"a stranger is removed": {[]string{delta(2, `{"id":"q","state":"removed"}`)}, map[choice.EndpointID]string{"a": a, "b": b, "z": z}},
+		"a stranger is up":      {[]string{delta(2, fmt.Sprintf(entry, "q", "h:3", 2, "up"))}, map[choice.EndpointID]string{"a": a, "b": b, "z": z, "q": "h:3 dest 2 kind 0 ready true gone false"}},
+		"drains, by its id":     {[]string{delta(2, `{"id":"b","state":"draining"}`)}, map[choice.EndpointID]string{"a": a, "z": z, "b": "127.0.0.1:2 dest 2 kind 1 ready false gone false"}},
+		"removed, by its id":    {[]string{delta(2, `{"id":"b","state":"removed"}`)}, map[choice.EndpointID]string{"a": a, "z": z}},
+		"elsewhere":             {[]string{delta(2, fmt.Sprintf(entry, "a", "h:3", 2, "up"))}, map[choice.EndpointID]string{"a": "h:3 dest 2 kind 0 ready true gone false", "b": b, "z": z}},
+		"twice, elsewhere":      {[]string{delta(2, fmt.Sprintf(entry, "a", "h:3", 1, "up")+","+fmt.Sprintf(entry, "a", "h:4", 2, "up"))}, map[choice.EndpointID]string{"a": "h:4 dest 2 kind 0 ready true gone false", "b": b, "z": z}},
+		"twice, drains by id":   {[]string{delta(2, fmt.Sprintf(entry, "q", "h:3", 2, "up")+`,{"id":"q","state":"draining"}`)}, map[choice.EndpointID]string{"a": a, "b": b, "z": z, "q": "h:3 dest 2 kind 0 ready false gone false"}},
+		"twice, removed and up": {[]string{delta(2, `{"id":"a","state":"removed"},`+fmt.Sprintf(entry, "a", "127.0.0.1:1", 1, "up"))}, map[choice.EndpointID]string{"a": a, "b": b, "z": z}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, got := listed(t, c.lists...)
+			if fmt.Sprint(got) != fmt.Sprint(c.want) {
+				t.Errorf("%v\nwant %v", got, c.want)
+			}
+			if _, taken := r.s.cells[0]; taken {
+				t.Error("a destination that no list names is known")
+			}
+		})
+	}
+}
+
+// standPlace is an endpoint that tells what came and answers when it is let.
+func standPlace(t *testing.T) (addr string, came chan string, let chan struct{}) {
+	came, let = make(chan string, 10), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/inbox" {
+			return // a probe
+		}
+		io.Copy(io.Discard, r.Body)
+		came <- r.Header.Get("X-Request-Id")
+		select {
+		case <-let:
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), came, let
+}
+
+// moving is a sender with one endpoint, e, for destination 1 at a place. tell hands it a change and returns when it is heard.
+func moving(t *testing.T, addr string) (s *Sender, hand func(id string), tell func(entry directory.Entry)) {
+	discovery := httptest.NewServer(http.HandlerFunc(turnsAway))
+	t.Cleanup(discovery.CloseClientConnections)
+	cfg := configure(t.TempDir(), 100)
+	cfg.Listen, cfg.Discovery = "127.0.0.1:0", discovery.Listener.Addr().String()
+	cfg.Known.Servers = []directory.Entry{{ID: "e", Addr: addr, Zone: "z", Kind: "one", Cell: 1, State: "up", Weight: 100}}
+	s, conn, done := running(t, cfg)
+	t.Cleanup(func() {
+		conn.Close()
+		s.Drain()
+		<-done
+	})
+	return s, func(id string) {
+			conn.Write(resp.AppendCommand(nil, []byte("OUT.ADD"), []byte("0"), []byte(id), []byte("c=order,d=20000,dest=1"), []byte("x")))
+		}, func(entry directory.Entry) {
+			heard := make(chan struct{})
+			s.post(func() {
+				s.listNews(directory.List{Version: 2, Servers: []directory.Entry{entry}}, false)
+				close(heard)
+			})
+			<-heard
+		}
+}
+
+func mustCome(t *testing.T, came <-chan string, where, want string) {
+	t.Helper()
+	select {
+	case got := <-came:
+		if got != want {
+			t.Fatalf("%s got %s, want %s", where, got, want)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatalf("%s never got %s", where, want)
+	}
+}
+
+// An endpoint that moves while a call to it is out: its old connection carries no other call, though it ends well.
+func TestMovedUnderCall(t *testing.T) {
+	first, atFirst, letFirst := standPlace(t)
+	second, atSecond, letSecond := standPlace(t)
+	close(letSecond)
+	s, hand, tell := moving(t, first)
+	hand("one")
+	mustCome(t, atFirst, "the first place", "one")
+	tell(directory.Entry{ID: "e", Addr: second, Zone: "z", Kind: "one", Cell: 1, State: "up", Weight: 100})
+	close(letFirst)
+	for over, end := false, time.Now().Add(20*time.Second); !over; {
+		if time.Now().After(end) {
+			t.Fatal("the call to the first place never ends")
+		}
+		owed := make(chan int)
+		s.post(func() { owed <- len(s.owed) })
+		over = <-owed == 0
+	}
+	hand("two")
+	select {
+	case id := <-atFirst:
+		t.Errorf("%s went to the place that was left", id)
+	case id := <-atSecond:
+		if id != "two" {
+			t.Errorf("%s went to the second place", id)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("nothing came")
+	}
+}
+
+// An endpoint that moves, or turns to another destination, while a connection to it comes up: the call does not leave
+// on it. Where the endpoint still serves its destination it goes to the new place.
+func TestMovedUnderDial(t *testing.T) {
+	for _, cell := range []float64{1, 2} {
+		t.Run(fmt.Sprint("cell ", cell), func(t *testing.T) {
+			first, atFirst, letFirst := standPlace(t)
+			second, atSecond, letSecond := standPlace(t)
+			close(letFirst)
+			close(letSecond)
+			s, hand, tell := moving(t, first)
+			up, dialed := make(chan net.Addr, 10), make(chan struct{})
+			s.post(func() {
+				dial := s.dial
+				s.dial = func(c *call) {
+					s.dial = dial // the later ones
+					addr := c.e.addr
+					go func() {
+						conn, err := netpoll.DialConnection("tcp", addr, 10*time.Second)
+						if err != nil {
+							t.Error(err)
+							return
+						}
+						up <- conn.RemoteAddr()
+						<-dialed
+						s.post(func() { s.dialed(c, conn, err) })
+					}()
+				}
+			})
+			hand("one")
+			<-up
+			tell(directory.Entry{ID: "e", Addr: second, Zone: "z", Kind: "one", Cell: cell, State: "up", Weight: 100})
+			close(dialed)
+			if cell == 1 {
+				mustCome(t, atSecond, "the second place", "one")
+			} else {
+				// Nobody serves its destination any more; the next to come to the second place is for the new one.
+				tell(directory.Entry{ID: "f", Addr: second, Zone: "z", Kind: "one", Cell: 1, State: "up", Weight: 100})
+				mustCome(t, atSecond, "the second place", "one")
+			}
+			select {
+			case id := <-atFirst:
+				t.Errorf("cell %v: %s went to the place that was left", cell, id)
+			default:
+			}
+		})
+	}
+}
+
+// Nothing is laid up between turns, where lists come; and a call that were does not leave for an endpoint that has since
+// turned to another destination.
+func TestTurnedBeforeLeaving(t *testing.T) {
+	r := start("", 100)
+	defer os.RemoveAll(r.dir)
+	c := &client{room: make(chan struct{}, window), writing: 1}
+	c.room <- struct{}{}
+	r.s.command(c, words("OUT.ADD k one c=order,d=20000,dest=1 x"))
+	if len(r.s.starting) != 0 {
+		t.Errorf("%d calls laid up before the turn", len(r.s.starting))
+	}
+	r.s.turn()
+	if len(r.calls) != 1 {
+		t.Fatalf("%d calls, want the one", len(r.calls))
+	}
+	first := r.calls[0]
+	r.calls, r.s.starting = nil, []*call{first}
+	r.list(`{"version":2,"servers":[{"id":"a","addr":"127.0.0.1:3","zone":"z","kind":"one","cell":2,"state":"up","weight":100}]}`)
+	r.s.startCalls()
+	if len(r.calls) != 0 {
+		t.Errorf("a call for destination 1 leaves for %d at %s", r.calls[0].e.dest, r.calls[0].e.addr)
+	}
+}
--- a/internal/sender/route.go
+++ b/internal/sender/route.go
@@ -23,6 +23,7 @@
 	zone choice.ZoneNo
 	// zoneName outlasts the settings that number it.
 	zoneName string
+	told     directory.Entry // as the list has it
 	bundle   int
 	gone     bool
 	// Of the list, as it is told to a cluster.
@@ -55,22 +56,40 @@
 }
 
 func (s *Sender) listNews(l directory.List, stale bool) {
+	l = l.Filled(func(id string) (directory.Entry, bool) {
+		e := s.endpoints[choice.EndpointID(id)]
+		if e == nil {
+			return directory.Entry{}, false
+		}
+		return e.told, true
+	})
 	entries, unread := s.names.Entries(l)
 	if unread > 0 {
 		s.log.Warn("list: entries left out", zap.Int("unread", unread), zap.Int64("version", l.Version))
 	}
+	if l.Full && unread > 0 && len(entries) == 0 {
+		return // nothing in it could be read: to obey it would leave nobody to send to
+	}
 	if l.Full {
 		for _, e := range s.endpoints {
 			e.gone, e.ready = true, false
 		}
 	}
-	addrs, zones := map[choice.EndpointID]string{}, map[choice.EndpointID]string{}
+	told := map[choice.EndpointID]directory.Entry{} // the last of each counts
 	for _, entry := range l.Servers {
-		addrs[choice.EndpointID(entry.ID)], zones[choice.EndpointID(entry.ID)] = entry.Addr, entry.Zone
+		told[choice.EndpointID(entry.ID)] = entry
 	}
 	for i, entry := range entries {
-		entries[i].Learnt = s.remembered(entry, addrs[entry.Endpoint])
+		as := told[entry.Endpoint]
+		entries[i].Learnt = s.remembered(entry, as.Addr)
 		e := s.endpoints[entry.Endpoint]
+		if e != nil && (as.Addr != e.addr || entry.Destination != e.dest) {
+			// It is another one by the same name. Connections to the one before, and calls that wait for one, would reach
+			// the place that was left, or for the destination that was left: they stay with it and end with what is out.
+			e.gone = true
+			s.closeIdle(e, moved)
+			e = nil
+		}
 		if e == nil {
 			e = &endpoint{id: entry.Endpoint}
 			s.endpoints[e.id] = e
@@ -78,12 +97,8 @@
 		if entries[i].Learnt != nil {
 			e.heard = s.learntAt
 		}
-		if addr := addrs[e.id]; addr != "" && addr != e.addr {
-			s.closeIdle(e, moved)
-			e.addr = addr
-		}
 		kinds := s.cfg.Settings.Kinds
-		e.zoneName = zones[e.id]
+		e.addr, e.zoneName, e.told = as.Addr, as.Zone, as
 		e.zone, e.bundle = entry.Zone, kinds[max(0, min(int(entry.Kind), len(kinds)-1))].BundleMax
 		e.dest, e.gone = entry.Destination, entry.Stage == choice.Gone
 		e.kind, e.rating, e.ready = entry.Kind, entry.Rating, entry.Stage == choice.Ready
