A whole list without servers is none: it changes nothing and is asked for again

Seen: {"version":5,"full":true} and the same with "servers":null were heard as a list without endpoints, which ends all (TestListWithoutServers, fails on the old text). Ruled out by tests that pass on both texts: lists cut at any byte, in chunks or writes, indented or not, with braces in names (TestCutAnywhere); wrong types, half lists, null entries; a version that goes back, from which the next call asks (TestVersionGoesBack).

At fault: call.read passed on whatever parsed. Change: a whole list without servers ends the call like one that cannot be read, and the version stays. It harms where discovery means an empty list by it: the old one then stays in force.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -34,6 +34,7 @@
 	errSilent  = errors.New("silent")
 	errEnded   = errors.New("the watch was ended")
 	errLong    = errors.New("a message is too long")
+	errNoList  = errors.New("a whole list without servers")
 	errStopped = errors.New("stopped")
 	errBeside  = errors.New("an earlier call has spoken")
 )
@@ -127,6 +128,11 @@
 		if err := d.Decode(&l); err != nil {
 			return err
 		}
+		if l.Full && l.Servers == nil {
+			// Taken for an empty one it would leave nobody to send to. It harms where discovery means an empty list by it:
+			// the old one stays in force, and it is asked again as long as it says so.
+			return errNoList
+		}
 		c.alive(&l)
 		if rest, err := io.ReadAll(d.Buffered()); err == nil && len(bytes.TrimSpace(rest)) > 0 {
 			c.half = time.Now()
--- /dev/null
+++ b/internal/directory/odd_test.go
@@ -0,0 +1,92 @@
+package directory
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// A list may be cut at any byte, in two chunks or in two writes of one, and every way it is heard as it is.
+func TestCutAnywhere(t *testing.T) {
+	for _, text := range []string{list(1) + "\n" + list(2), `{"version":1,"full":true,"servers":[{"id":"a"}]}` + "\n\n" + `{"version":2,"servers":[{"id":"b\"}{","addr":"ü"}]}` + "\n"} {
+		whole := answerHead + chunk(text)
+		synctest.Test(t, func(t *testing.T) {
+			for i := 1; i < len(text); i++ {
+				check := func(how string, s script) {
+					all, _ := watched(1, 2*time.Second, &standIn{scripts: []script{s}})
+					if len(all) != 2 || all[0].version != 1 || all[1].version != 2 {
+						t.Errorf("%s at %d: heard %v", how, i, all)
+					}
+				}
+				check("chunks", script{pieces: []piece{{0, answerHead + chunk(text[:i])}, {500 * time.Millisecond, chunk(text[i:])}}})
+			}
+			for i := 1; i < len(whole); i++ {
+				all, _ := watched(1, 2*time.Second, &standIn{scripts: []script{{pieces: []piece{{0, whole[:i]}, {500 * time.Millisecond, whole[i:]}}}}})
+				if len(all) != 2 || all[0].version != 1 || all[1].version != 2 {
+					t.Errorf("writes at %d: heard %v", i, all)
+				}
+			}
+		})
+	}
+}
+
+// A whole list without servers, or with null for them, is none: it changes nothing, the version stays, and the list is
+// asked for again. An empty one is obeyed, a change without servers is heard, and so is a version that goes back.
+func TestListWithoutServers(t *testing.T) {
+	for text, heard := range map[string]bool{
+		`{"version":5,"full":true}`:                 false,
+		`{"version":5,"full":true,"servers":null}`:  false,
+		`{"version":5,"full":true,"servers":{}}`:    false,
+		`{"version":5,"full":true,"servers":["a"]}`: false,
+		`{"version":"5","full":true,"servers":[]}`:  false,
+		`[]`:                                     false,
+		`{"version":5,"full":true,"servers":[]}`: true,
+		`{"version":5}`:                          true,
+		`{"version":5,"full":false,"servers":null}`:   true,
+		`{"version":-3,"full":false,"servers":[{}]}`:  true,
+		`{"servers":[{"id":"a","weight":null}]}`:      true,
+		`{"version":5,"full":true,"servers":[null]}`:  true,
+		`{"version":5.5,"full":true,"servers":[]}`:    false,
+		`{"version":5,"full":"true","servers":[]}`:    false,
+		`{"version":5,"full":true,"servers":[{"id":1`: false,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			d := &standIn{scripts: []script{{pieces: []piece{{0, answerHead + chunk(text+"\n")}}, ends: true}, healthy(9)}}
+			all, ends := watched(1, 20*time.Second, d)
+			if got := len(all) == 2; got != heard || all[len(all)-1].version != 9 || len(ends) == 0 || errors.Is(ends[0], errSilent) {
+				t.Errorf("%s: heard %v, ends %v", text, all, ends)
+			}
+		})
+	}
+}
+
+// The next call asks from the version heard last, though it went back: discovery may number its versions anew.
+func TestVersionGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &standIn{scripts: []script{{pieces: []piece{{0, answerHead + chunk(list(41)+"\n"+list(3))}}, ends: true}, healthy(4)}}
+		all, _ := watched(1, 20*time.Second, d)
+		var versions []int64
+		for _, h := range all {
+			versions = append(versions, h.version)
+		}
+		if !reflect.DeepEqual(versions, []int64{41, 3, 4}) || fmt.Sprint(d.asked) != "[0 3]" {
+			t.Errorf("heard %v, asked since %v", versions, d.asked)
+		}
+	})
+}
+
+// What ends an endpoint's service by its id alone stands for all that the list has of it.
+func TestFilled(t *testing.T) {
+	known := Entry{ID: "a", Addr: "h:1", Cell: 3, State: "up"}
+	l := List{Servers: []Entry{{ID: "a", State: "draining"}, {ID: "x", State: "removed"}, {ID: "b", Addr: "h:2", Cell: 4, State: "up"},
+		{ID: "b", State: "removed"}, {ID: "c", State: "odd"}, {State: "removed"}, {ID: "d", State: "up"}}}
+	got := l.Filled(func(id string) (Entry, bool) { return known, id == "a" }).Servers
+	want := []Entry{{ID: "a", Addr: "h:1", Cell: 3, State: "draining"}, {ID: "b", Addr: "h:2", Cell: 4, State: "up"},
+		{ID: "b", Addr: "h:2", Cell: 4, State: "removed"}, {ID: "c", State: "odd"}, {State: "removed"}, {ID: "d", State: "up"}}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/directory/silence_test.go
+++ b/internal/directory/silence_test.go
@@ -58,6 +58,7 @@
 	mu      sync.Mutex // two calls may be out
 	scripts []script
 	calls   []time.Duration // when each came
+	asked   []string        // the version since which each asked, as its request came
 	start   time.Time
 	stands  time.Duration // the watch's process stands still for so long with each message
 }
@@ -73,15 +74,21 @@
 	case <-time.After(s.up):
 	}
 	ours, theirs := net.Pipe()
-	go s.play(theirs)
+	go s.play(theirs, func(since string) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.asked = append(d.asked, since)
+	})
 	return ours, nil
 }
 
-func (s script) play(conn net.Conn) {
+func (s script) play(conn net.Conn, asked func(since string)) {
 	defer conn.Close()
-	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
 		return
 	}
+	asked(r.URL.Query().Get("since"))
 	for _, p := range s.pieces {
 		time.Sleep(p.after)
 		if _, err := io.WriteString(conn, p.text); err != nil {
@@ -245,7 +252,7 @@
 			if err != nil {
 				return
 			}
-			go script{pieces: []piece{{0, answerHead + chunk(list(version))}}}.play(conn)
+			go script{pieces: []piece{{0, answerHead + chunk(list(version))}}}.play(conn, func(string) {})
 		}
 	}()
 	var d net.Dialer
