Cold budgets hold for the sum of a fleet: chance of many senders counted within N + 2 root N + 2

Lines at fault, each in choice: - coldReady: the mean was 1.2 N, and a call a cold time for each sender where that was more, whatever the endpoint takes. - ListNews: what joined a cold destination began with an empty budget at all senders in one moment, so all were full in one moment, too (20 senders on, up to 87 calls too many in the trial). - chill: each sender's own return drew a new bucket, and a sender called twice where its part allowed one call. - place: the call after a passed probe was free of the budget, also where all probes and trials were more than N allows.

Ruled out: clocks apart, restarted senders (their windows count as not told; the senders that knew stay within), settings absent, zero, negative or extreme, classes one, twenty, all or none single-use (TestReturnsUnderOddSettings passes on the old text as well). Turns by a sender's number were weighed and not taken: with 300 senders and N of 20 a turn comes each 20 s, beyond most deadlines, and one that comes while nothing waits is lost.

Change: coldMean gives the mean of all senders: what lies 2.5 deviations of a count by chance below N + 2 root N + 2, at most 1.2 N, and for few senders what their buckets cannot pass even all full. The floor is left for what nobody knows (no report, no rating, no multiple). A budget under way goes on at a return; what joins draws its start by chance. leastPace stays. Fleets of up to eight keep their rates below the bound.

Not guarded: a message for the same destination at each of a fleet in one moment.

--- a/choice/answers.go
+++ b/choice/answers.go
@@ -3,9 +3,8 @@
 // How calls end and what is learnt of it.
 
 func (s *Sender) Ended(o Outcome) {
-	s.now = s.h.Now()
 	n := s.held[o.Notice]
-	if n == nil || n.out == nil || o.Dispatch != n.tries-1 {
+	if s.now = s.h.Now(); n == nil || n.out == nil || o.Dispatch != n.tries-1 {
 		return
 	}
 	c := n.out
@@ -58,12 +57,10 @@
 }
 
 func (s *Sender) learn(c *call, o Outcome) {
-	e, r := c.e, c.e.route
-	s.stir(e.d)
-	if o.Report.Known {
+	e, r, full := c.e, c.e.route, one(o.Result == Full)
+	if s.stir(e.d); o.Report.Known {
 		r.limit, e.d.kind.reports = o.Report.Limit, true
 	}
-	full := one(o.Result == Full)
 	r.seen, e.asked, e.full, e.bad = r.seen+1, e.asked+1, e.full+full, e.bad+meanGain*(full-e.bad)
 	e.wrong += one(!e.aside) * pastGain * (1 - full) * (one(o.Result != Done) - e.wrong)
 	s.kept += one(o.Kept) * meanGain * (one(o.Result == Reset) - s.kept)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -91,9 +91,8 @@
 	// 3200.0  dispatch v to a
 	// 3200.0  dispatch u to b
 	// 4200.0  dispatch t to b
-	// 4550.0  probe a
+	// 5250.0  probe a
 	// 5490.1  shed p
-	// 5550.0  probe b
 	// 5790.1  shed s
 }
 
--- a/choice/intake.go
+++ b/choice/intake.go
@@ -92,9 +92,8 @@
 
 // Withdrawn ends a notice without an answer. It is not sent again; where one is out its outcome still counts.
 func (s *Sender) Withdrawn(id NoticeID) {
-	s.now = s.h.Now()
-	if n := s.held[id]; n != nil {
-		s.release(n)
+	if s.now = s.h.Now(); s.held[id] != nil {
+		s.release(s.held[id])
 	}
 }
 
--- a/choice/lanes.go
+++ b/choice/lanes.go
@@ -10,9 +10,8 @@
 	if n.elem != nil || n.line != nil && (n.line.notices[0] != n || s.now < n.line.restUntil && n.tries == 0) {
 		return
 	}
-	if n.queue = n.d.queues[n.Workload]; n.tries > 0 {
-		n.queue = n.d.queues[len(s.set.Workloads)+int(one(n.refused))]
-	}
+	retry := len(s.set.Workloads) + int(one(n.refused))
+	n.queue = n.d.queues[[...]int{int(n.Workload), retry}[int(one(n.tries > 0))]]
 	n.elem = n.queue.PushBack(n)
 	if n.d.waiting++; n.d.waiting == 1 {
 		s.waiting = append(s.waiting, n.d)
@@ -53,8 +52,7 @@
 }
 
 func (s *Sender) TimerDue(id TimerID) {
-	s.now = s.h.Now()
-	if id == tickTimer {
+	if s.now = s.h.Now(); id == tickTimer {
 		s.h.Timer(tick, tickTimer)
 		for _, c := range s.calls {
 			if float64(s.now-c.sentAt) > max(2*s.prior, overdueAfter*c.e.past) {
--- a/choice/measure.go
+++ b/choice/measure.go
@@ -145,6 +145,12 @@
 	return math.Sqrt(share * (1 - share) * (1/max(1, a) + 1/max(1, b)))
 }
 
+// meanBelow is the mean of a count by chance that lies so many deviations below a bound.
+func meanBelow(bound, deviations float64) float64 {
+	root := (math.Sqrt(deviations*deviations+4*bound) - deviations) / 2
+	return root * root
+}
+
 // times are what calls took: mean and spread of late, and the mean over a long past.
 type times struct{ mean, dev, past, seen float64 }
 
--- a/choice/paces.go
+++ b/choice/paces.go
@@ -8,9 +8,8 @@
 // told, a run with nothing done has one guessed, doubling. Harm: a very low limit not reported.
 func (s *Sender) refused(c *call, o Outcome) {
 	e, r, halted := c.e, c.e.route, c.e.route.haltUntil
-	r.run++
 	limited := o.Report.Limit > 0 && (o.Report.Left-usedUp)*o.Report.Limit < 1
-	if s.notes && s.now >= halted && (limited || o.Wait > 0 || !e.d.kind.reports) {
+	if r.run++; s.notes && s.now >= halted && (limited || o.Wait > 0 || !e.d.kind.reports) {
 		s.tell(e, max(o.Wait, noteUnit))
 		s.heed(e, o.Wait)
 	}
--- a/choice/ranks.go
+++ b/choice/ranks.go
@@ -1,9 +1,7 @@
 package choice
 
-import (
-	"cmp"
-	"slices"
-)
+import "cmp"
+import "slices"
 
 // Where a notice goes and for how long its call may take.
 
@@ -68,8 +66,8 @@
 			return e, barred
 		case rideOnly || len(s.calls) >= s.slots || n.tries > 0 && n.d.again.fill(s.now, float64(s.slots)) < 1:
 		case e.aside:
-			wait := e.tryAt + Time(one(n.w.Repeat == SingleUse))*2*lastTrial
-			if e.passed && s.now >= wait && trial == nil && (s.probes || s.coldReady(e)) {
+			due := e.passed && trial == nil && s.now >= e.tryAt+Time(one(n.w.Repeat == SingleUse))*2*lastTrial
+			if due && (s.coldReady(e) || s.probes && e.cold.rate*s.senders*s.fall > handful) {
 				trial = e
 			}
 		case float64(e.calls) >= e.limit || e.calls >= firstLimit && s.now-e.goodAt >= quietFor: // silent: as new
--- a/choice/returns.go
+++ b/choice/returns.go
@@ -33,14 +33,13 @@
 // setAside stops sends to an endpoint whose calls fail, whatever the cause. It comes back by a probe, where
 // the fleet is small, and then a trial call. Harm: a healthy endpoint with two chance failures.
 func (s *Sender) setAside(e *endpoint) {
-	s.stir(e.d)
-	if e.aside {
-		e.step = min(lastTrial, 2*e.step)
+	if s.stir(e.d); e.aside {
+		e.step, e.failAt = min(lastTrial, 2*e.step), s.now
 	} else {
-		e.aside, e.asideAt, e.step, e.coldWas = true, s.now, firstTrial, e.coldFrom
+		e.asideAt, e.failAt, e.step, e.coldWas = s.now, s.now, firstTrial, e.coldFrom
 		s.chill(e, max(s.now, e.route.haltUntil))
 	}
-	e.failAt, e.passed, e.tryAt = s.now, !s.probes, s.now+e.step/2+s.chance.upTo(string(e.id), e.step/2)
+	e.aside, e.passed, e.tryAt = true, !s.probes, s.now+e.step/2+s.chance.upTo(string(e.id), e.step/2)
 }
 
 func (s *Sender) comeBack(e *endpoint, sentAt Time) {
@@ -52,10 +51,14 @@
 	e.fails, e.aside = 0, false
 }
 
-// chill starts a cold budget: two senders may begin at once, those of a fleet each by chance.
+// chill starts a cold budget: two senders begin at once, those of a fleet each by chance. One under way goes
+// on, or each would send twice at its own return; but for few senders, whose parts fill often in a fall span.
 func (s *Sender) chill(e *endpoint, from Time) {
+	level := 1 - s.chance.share(string(e.id))*max(0, 1-2/s.senders)
+	if !s.outage(e) || s.senders <= smallFleet && e.cold.rate*s.fall > handful {
+		e.cold.level = level
+	}
 	e.limit, e.mean, e.coldFrom, e.cold.at = firstLimit, e.past, from, max(from, s.now)
-	e.cold.level = 1 - s.chance.share(string(e.id))*max(0, 1-2/s.senders)
 }
 
 func (s *Sender) outage(e *endpoint) bool { return e.aside || s.now < e.coldFrom+s.cold }
@@ -67,15 +70,24 @@
 	}
 	ends := 1 + one(e.route == e.d.route)*float64(len(e.d.ranked)-1)
 	warm := s.set.ColdFrom + one(!e.aside)*(1-s.set.ColdFrom)*float64(s.now-e.coldFrom)/float64(max(1, s.cold))
-	known := max(max(leastPace, e.route.limit)/s.senders, e.route.rating)
-	e.cold.rate = max(coldFloor/seconds(s.cold), s.fallRate*warm*known) / ends
-	// The call that a bucket holds counts too, where few share much; of a large fleet's few are full at once.
-	if span := seconds(max(1, s.set.Fall)); s.senders <= smallFleet && e.cold.rate*s.senders*span > handful {
-		e.cold.rate = max(handful/s.senders/span, e.cold.rate-1/span)
+	told := min(unpaced, max(e.route.limit, e.route.rating*s.senders))
+	e.cold.rate = s.coldMean(s.set.FallMultiple*warm*max(leastPace, told)/ends*s.fall) / s.fall / s.senders
+	if told*s.set.FallMultiple == 0 { // what it takes is not known, and less would keep a large fleet away
+		e.cold.rate = max(e.cold.rate, coldFloor/seconds(max(1, s.cold))/ends)
 	}
 	return e.cold.fill(s.now, 1) >= 1
 }
 
+// coldMean is the design's ramp for all senders together: their calls in a fall span, on average, where n are
+// allowed. It falls beyond n + 2 root n + 2. Few senders stay below with all buckets full; a fleet, coldLuck
+// deviations below, if it acts by chance, not in step. Harm: if few of it have calls, returns are seen late.
+func (s *Sender) coldMean(n float64) float64 {
+	n = min(max(0, n), unpaced*s.fall)
+	most, many := n+2*math.Sqrt(n)+2, one(s.senders > smallFleet)
+	sure := min(most, max(handful+s.senders, coldPart*n)) - s.senders
+	return min(coldPart*max(n, 1/handful), max(sure, min(handful+many*n, meanBelow(most, coldLuck))))
+}
+
 func (s *Sender) Probed(id EndpointID, result Result) {
 	s.now = s.h.Now()
 	if e := s.endpoints[id]; e != nil && e.probing {
--- a/choice/start.go
+++ b/choice/start.go
@@ -9,7 +9,7 @@
 		h: h, set: set, chance: newChance(id, seed), now: h.Now(), cold: set.Cold, turn: max(1, set.Turn),
 		slots: set.Slots, maxTries: set.MaxDispatches, laneMax: max(1, set.Slots/laneShare),
 		senders: float64(set.Senders), probes: set.Probing && set.Senders <= smallFleet,
-		notes: set.Notes && set.Senders > smallFleet, fallRate: set.FallMultiple * coldPart,
+		notes: set.Notes && set.Senders > smallFleet, fall: seconds(max(Second, set.Fall)),
 		loadSpan: [...]Time{loadSpan, fleetLoadSpan}[int(one(set.Senders > smallFleet))],
 		held:     map[NoticeID]*notice{}, timers: map[TimerID]*notice{}, lines: map[OrderKey]*keyLine{},
 		byID: map[DestinationID]*destination{}, endpoints: map[EndpointID]*endpoint{}, signs: map[sign]*endpoint{},
@@ -52,18 +52,18 @@
 			for _, other := range d.ranked {
 				if other.route == e.route && (other.aside && !e.aside || other.coldFrom > e.coldFrom) {
 					// Most of a destination may be replaced while it is out: what is new is no warmer than the rest.
-					e.times, e.standing, e.cold = other.times, other.standing, bucket{at: max(s.now, other.cold.at)}
+					s.chill(e, other.coldFrom) // all senders hear of it at one moment, and must not begin then
+					e.times, e.standing, e.cold.at = other.times, other.standing, max(s.now, other.cold.at)
 				}
 			}
 			s.endpoints[e.id], s.signs[signOf(e.id)] = e, e
 			d.ranked = append(d.ranked, e)
 		}
 
-		e.zone, e.listed, e.dear = entry.Zone, entry.Stage == Ready, 1
+		e.zone, e.listed, e.dear, e.route.rating = entry.Zone, entry.Stage == Ready, 1, entry.Rating*s.ratingPart
 		if z := int(e.zone); d.kind.Apart && z >= 0 && z < len(s.set.RouteFees) {
 			e.dear += feeWeight * s.set.RouteFees[z]
 		}
-		e.route.rating = entry.Rating * s.ratingPart
 	}
 }
 
@@ -103,11 +103,10 @@
 	s.now = s.h.Now()
 	if e := s.endpoints[id]; e != nil {
 		was := *e.route
-		s.stir(e.d)
 		*e.route = *newRoute(s.now)
 		s.recall(e, l)
 		e.fails, e.wrong, e.bad, e.asked, e.full, e.goodAt, e.route.rating = 0, 0, 0, 0, 0, 0, was.rating
-		if s.outage(e) || e.route == e.d.route && slices.ContainsFunc(e.d.ranked, s.outage) {
+		if s.stir(e.d); s.outage(e) || e.route == e.d.route && slices.ContainsFunc(e.d.ranked, s.outage) {
 			e.route.limit, e.route.fails, e.route.haltUntil = 0, was.fails, max(e.route.haltUntil, was.haltUntil)
 		}
 	}
--- a/choice/tables.go
+++ b/choice/tables.go
@@ -24,8 +24,8 @@
 	leastPace, unpaced      = 0.6, 1e6    // calls a second: of all senders together; while no limit was met
 	paceCut, paceGrow       = 0.5, 0.05   // to which part at least, half beyond a handful; growth a second
 	callsToJudge, handful   = 16, 4.0     // under so many, a refusal is a limit's; calls that fell nothing
-	coldFloor, coldPart     = 1.0, 1.2    // calls a cold time, whatever is known; times the part that is
-	lookPast                = 16          // notices of one queue that are looked at where places are barred
+	coldFloor, coldPart     = 1.0, 1.2    // calls a cold time where nothing is known; times the part that is
+	lookPast, coldLuck      = 16, 2.5     // notices looked at where places are barred; deviations left to chance
 	smallFleet, laneShare   = 8, 4        // senders up to which each probes at all; slots to one of a lane
 	rideWeight, notedPay    = 0.15, 0.3   // of one more in a call to the cold; retries one done pays, with notes
 	feeWeight, overdueAfter = 20.0, 4.0   // times longer: for a notice's worth of fee; than past, till overdue
@@ -125,16 +125,16 @@
 // Sender is one sender's decisions. A caller makes one with Start, calls a method for each thing that
 // happens, and TurnEnd once all that came in together is told; it acts by calling its Host meanwhile.
 type Sender struct {
-	h                                                   Host
-	set                                                 Settings
-	chance                                              chance
-	kinds                                               []kind
-	shares                                              []bucket // by account
-	laneMax, maxTries, slots, turns                     int
-	senders, prior, topGain, ratingPart, fallRate, kept float64 // kept: see learn
-	now, base, cap, cold, loadSpan, turn                Time
-	probes, notes                                       bool
-	lastTimer                                           TimerID
+	h                                               Host
+	set                                             Settings
+	chance                                          chance
+	kinds                                           []kind
+	shares                                          []bucket // by account
+	laneMax, maxTries, slots, turns                 int
+	senders, prior, topGain, ratingPart, fall, kept float64 // kept: see learn
+	now, base, cap, cold, loadSpan, turn            Time
+	probes, notes                                   bool
+	lastTimer                                       TimerID
 
 	held      map[NoticeID]*notice           // emptied as notices end
 	timers    map[TimerID]*notice            // emptied as each fires or its notice is released
