A cold budget under way keeps the lesser of what it holds and a new draw

Seen: a destination with two endpoints that shuts while it is cold opens to all senders at one moment. With the budget under way kept as it was, 80 senders that had lately sent nothing to the second endpoint held a full bucket there, and all 80 called it at once, where 34 fell it (TestOpensCold, new).

Ruled out: the asked endpoint, whose bucket its own call had emptied (0 calls).

Change: chill takes the lesser of the level and a draw.

--- a/choice/returns.go
+++ b/choice/returns.go
@@ -55,10 +55,10 @@
 // on, or each would send twice at its own return; but for few senders, whose parts fill often in a fall span.
 func (s *Sender) chill(e *endpoint, from Time) {
 	level := 1 - s.chance.share(string(e.id))*max(0, 1-2/s.senders)
-	if !s.outage(e) || s.senders <= smallFleet && e.cold.rate*s.fall > handful {
-		e.cold.level = level
+	if s.outage(e) && (s.senders > smallFleet || e.cold.rate*s.fall <= handful) {
+		level = min(level, e.cold.level) // nor may what piled up leave in one moment, as a told wait ends
 	}
-	e.limit, e.mean, e.coldFrom, e.cold.at = firstLimit, e.past, from, max(from, s.now)
+	e.limit, e.mean, e.coldFrom, e.cold = firstLimit, e.past, from, bucket{e.cold.rate, level, max(from, s.now)}
 }
 
 func (s *Sender) outage(e *endpoint) bool { return e.aside || s.now < e.coldFrom+s.cold }
--- a/choice/returns_test.go
+++ b/choice/returns_test.go
@@ -141,3 +141,34 @@
 		}
 	}
 }
+
+// A destination that shuts while it is cold opens to a fleet at one moment. What each may send to those of its endpoints
+// that it did not ask has piled up until then, and must not leave at once.
+func TestOpensCold(t *testing.T) {
+	p := cold(80, 10)
+	p.set.Senders, p.set.Probing = p.senders, false
+	at := map[EndpointID]int{}
+	for i := range p.senders {
+		d := &desk{tries: map[NoticeID]int{}, mute: true}
+		d.s = Start(d, SenderID(fmt.Sprint(i)), 7, p.set)
+		d.s.ListNews([]Entry{{Endpoint: "a", Destination: 1, Rating: 20}, {Endpoint: "b", Destination: 1, Rating: 20}}, true)
+		d.clock = 20 * Second
+		for _, id := range []EndpointID{"a", "b"} {
+			e := d.s.endpoints[id]
+			d.s.now = d.clock
+			d.s.setAside(e)
+			d.s.comeBack(e, d.clock)
+			e.cold.level = 1 // it had nothing to send for long
+		}
+		d.take(0, 1, "first").ended(Full, 4*Second, "a", "first").take(0, 1, "p", "q", "r").run(5 * Second)
+		for id, e := range d.s.endpoints {
+			at[id] += e.calls
+		}
+	}
+	n := 2.5 * 10 * (0.2 + 0.8*0.5) * 1.5 // allowed at the end of the span, were it cold from before the wait
+	for id, calls := range at {
+		if most := n + 2*math.Sqrt(n) + 2; float64(calls) > most {
+			t.Errorf("%d calls at once at %s, %.0f fell it", calls, id, most)
+		}
+	}
+}
