Idempotency keys reach endpoints, tenants their own share; a call is on record as it leaves

Three faults of the same files; each has a test that fails without its mend.

Keys and tenants. Ruled out, one by one: names with odd characters, tenants, the client's ordering key in X-Key. Lines at fault: read and request. Without an account each message counted to the first tenant's share; now to its own, and to none where the settings do not name it. TestKeysAndTenants.

What the endpoint measures is not known; that the first is it is inferred. The message with the latest deadline now stands first. Lines at fault: request. TestFirstOfABundleLastsLongest.

Seen: a process killed while a call still waited for its connection left it on record as one that may have run, so that the next one gave a single-use message up without a call (TestKilledWhileConnecting, red on the old text). The record now goes into the append of the turn in which the connection came up, and the call leaves behind it. TestOnRecordBeforeFirstByte holds the order. The rigs of older tests bring their connections up through comesUp; none of their expectations changed. mayLeave no longer takes along a message that parted while its call's write waited.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,6 +28,7 @@
 	Limits    Limits
 	Known     directory.List
 	Workloads map[string]choice.WorkloadNo // by name
+	Accounts  map[string]choice.AccountNo
 	Zones     map[string]choice.ZoneNo
 	Kinds     map[string]choice.KindNo
 	Reports   []string // fields of load reports
@@ -84,7 +85,7 @@
 	}{
 		{"name", c.Name, fresh.Name}, {"listen", c.Listen, fresh.Listen}, {"state", c.State, fresh.State},
 		{"limits", c.Limits, fresh.Limits}, {"settings", c.Settings, fresh.Settings},
-		{"settings.classes", c.Workloads, fresh.Workloads}, {"settings.zones", c.Zones, fresh.Zones},
+		{"settings.classes", c.Workloads, fresh.Workloads}, {"settings.accounts", c.Accounts, fresh.Accounts}, {"settings.zones", c.Zones, fresh.Zones},
 		{"settings.machineTypes", c.Kinds, fresh.Kinds}, {"settings.stats.fields", c.Reports, fresh.Reports},
 		{"peer_listen", c.PeerListen, fresh.PeerListen}, {"peers", c.Peers, fresh.Peers}, {"peers_all", c.PeersAll, fresh.PeersAll},
 	} {
@@ -194,6 +195,12 @@
 	for i, class := range f.Settings.Classes {
 		c.Workloads[class.Name] = choice.WorkloadNo(i)
 	}
+	c.Accounts = map[string]choice.AccountNo{}
+	for i, a := range f.Settings.Accounts {
+		if a.Name != "" {
+			c.Accounts[a.Name] = choice.AccountNo(i)
+		}
+	}
 	c.Zones, c.Kinds = map[string]choice.ZoneNo{}, map[string]choice.KindNo{}
 	for i, zone := range f.Settings.Zones {
 		c.Zones[zone] = choice.ZoneNo(i)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -13,6 +14,7 @@
 // are skipped.
 type Boot struct {
 	Accounts []struct {
+		Name     string
 		QuotaRps float64
 	}
 	Balancers int
@@ -232,10 +234,14 @@
 			return fmt.Errorf("classes[%d].name: missing", i)
 		}
 	}
+	accounts := make([]string, len(b.Accounts))
+	for i, a := range b.Accounts {
+		accounts[i] = cmp.Or(a.Name, fmt.Sprint("without a name: ", i))
+	}
 	for _, list := range []struct {
 		field string
 		names []string
-	}{{"classes[%d].name", classes}, {"zones[%d]", b.Zones}, {"machineTypes[%d]", b.MachineTypes}} {
+	}{{"accounts[%d].name", accounts}, {"classes[%d].name", classes}, {"zones[%d]", b.Zones}, {"machineTypes[%d]", b.MachineTypes}} {
 		for i, name := range list.names {
 			if first := slices.Index(list.names, name); first < i {
 				return fmt.Errorf(list.field+": %q stands for "+list.field+" already", i, name, first)
--- a/internal/sender/admit.go
+++ b/internal/sender/admit.go
@@ -27,17 +27,19 @@
 // notice is one that was handed in and has not ended. It leaves Sender.owed when nothing more is owed for it.
 type notice struct {
 	choice.Notice
-	key      string // the client's own, passed on in bulk calls
-	workload string
-	body     []byte
-	reply    *reply // nil once the client has its answer
-	lasting  bool   // its record is written, or waits in the batch
-	tries    int    // dispatches of this process
-	out      *call
-	takenAt  choice.Time // by the wall clock of its process; 0 where an older record does not tell
-	sure     bool        // a dispatch that may have run is on record
-	ranIn    string      // the zone's name, where a dispatch may have run: numbers are the settings', and may change
-	ending   ending
+	key string // by which order is kept
+	// Both as the client told them. Endpoints know a repeat by the first, whatever id it came under.
+	idempotencyKey, tenant string
+	workload               string
+	body                   []byte
+	reply                  *reply // nil once the client has its answer
+	lasting                bool   // its record is written, or waits in the batch
+	tries                  int    // dispatches of this process
+	out                    *call
+	takenAt                choice.Time // by the wall clock of its process; 0 where an older record does not tell
+	sure                   bool        // a dispatch that may have run is on record
+	ranIn                  string      // the zone's name, where a dispatch may have run: numbers are the settings', and may change
+	ending                 ending
 	// withdrawn tells that a purge meant it. Where its call is out, its ending is on record, but waits for the answer.
 	withdrawn bool
 	size      int64
@@ -99,13 +101,13 @@
 	}
 	s.coming = 0
 	for _, c := range s.starting {
-		for _, n := range c.notices {
-			if s.limitsRepeat(n) && !n.sure {
-				n.sure = true
-				s.journal.Add(outRecord(n.ID, c.began, c.e.zone, c.e.zoneName))
-			}
+		if len(c.e.idle) > 0 {
+			s.recordOut(c)
 		}
 	}
+	for _, a := range s.connected {
+		s.recordOut(a.c)
+	}
 	if len(s.order) > 2*len(s.owed)+mostOver {
 		// On a large disk a rewriting may be long in coming.
 		s.order = deleteEnded(s.order)
@@ -126,6 +128,17 @@
 	return err == nil
 }
 
+// recordOut lays up that a call may have run.
+func (s *Sender) recordOut(c *call) {
+	c.recorded = true
+	for _, n := range c.notices {
+		if s.limitsRepeat(n) && !n.sure && n.out == c {
+			n.sure = true
+			s.journal.Add(outRecord(n.ID, c.began, c.e.zone, c.e.zoneName))
+		}
+	}
+}
+
 func (s *Sender) keep(n *notice) {
 	s.order = append(s.order, n)
 	s.live += n.size + endRecords
--- a/internal/sender/call.go
+++ b/internal/sender/call.go
@@ -5,6 +5,7 @@
 // leave a call that was given up on an open connection, or take a call of which a byte may be missing for one that ran.
 
 import (
+	"cmp"
 	"encoding/base64"
 	"slices"
 	"strconv"
@@ -35,11 +36,15 @@
 	link    *link       // once it is up
 	timers  []*timer    // its end and that of notices whose time is over before; taken back once it is over
 	over    bool
-	own     bool // it never left, for a reason of ours
+	// recorded tells that it is on record as one that may have run. It is not while it has to wait for a connection: a
+	// process that is killed then has sent nothing, and what is single-use would be given up though nobody has seen it.
+	recorded bool
+	own      bool // it never left, for a reason of ours
 }
 
 // startCalls lets the turn's calls leave.
 func (s *Sender) startCalls() {
+	s.leaveConnected()
 	for _, c := range s.starting {
 		c.e.open = nil
 		s.begin(c)
@@ -53,9 +58,11 @@
 		return
 	}
 	c.timers = append(c.timers, s.after(time.Duration(config.Nanoseconds(c.lasts)), func() { s.expire(c) }))
-	if l := s.takeIdle(c.e); l != nil {
-		s.leave(c, l)
-		return
+	if c.recorded || c.probe {
+		if l := s.takeIdle(c.e); l != nil {
+			s.leave(c, l)
+			return
+		}
 	}
 	if s.open >= s.mostOpen && !s.closeOldestIdle() || c.e.addr == "" || c.e.gone {
 		s.logEnd("endpoint", string(c.e.id), crowded, nil)
@@ -121,9 +128,15 @@
 	wait := strconv.FormatInt(int64(max(1, (left+choice.Millisecond-1)/choice.Millisecond)), 10)
 	if len(c.notices) == 1 {
 		n := c.notices[0]
-		return http1.AppendRequest(nil, "POST", "/inbox", c.e.addr, len(n.body),
-			"X-Request-Id", string(n.ID), "X-Deadline-Ms", wait), n.body
+		fields := []string{"X-Request-Id", string(n.ID), "X-Deadline-Ms", wait}
+		if n.idempotencyKey != "" {
+			fields = append(fields, "Idempotency-Key", n.idempotencyKey)
+		}
+		return http1.AppendRequest(nil, "POST", "/inbox", c.e.addr, len(n.body), fields...), n.body
 	}
+	// An endpoint may measure the whole call by the time of its first message: an answer that came after that counted for
+	// none of the others, though it named each as done. So the one with the latest deadline stands first.
+	slices.SortStableFunc(c.notices, func(a, b *notice) int { return cmp.Compare(b.HardStop, a.HardStop) })
 	// Ids and keys are visible characters without quotes, so they stand in JSON as they are.
 	body = append(body, '[')
 	for i, n := range c.notices {
@@ -131,7 +144,7 @@
 			body = append(body, ',')
 		}
 		body = append(append(body, `{"id":"`...), n.ID...)
-		body = append(append(append(body, `","key":"`...), n.key...), `","body":"`...)
+		body = append(append(append(body, `","key":"`...), cmp.Or(n.idempotencyKey, n.key)...), `","body":"`...)
 		body = append(base64.StdEncoding.AppendEncode(body, n.body), `"}`...)
 	}
 	body = append(body, ']')
--- a/internal/sender/command.go
+++ b/internal/sender/command.go
@@ -119,6 +119,10 @@
 		switch name, value, _ := strings.Cut(pair, "="); name {
 		case "c":
 			n.workload = value
+		case "k":
+			n.idempotencyKey = value
+		case "t":
+			n.tenant = value
 		case "d":
 			hold = number(value)
 		case "dest":
@@ -131,16 +135,26 @@
 		return nil, fmt.Errorf("c: no class %q", n.workload)
 	case hold <= 0 || hold > maxHold:
 		return nil, errors.New("d: milliseconds, above 0 and within a day")
+	case n.idempotencyKey != "" && !token([]byte(n.idempotencyKey)):
+		return nil, errors.New("k: up to 128 visible characters")
 	case dest < 0 || dest > 1<<53 || dest != float64(int64(dest)):
 		return nil, errors.New("dest: a whole number")
 	}
-	n.Workload, n.Destination = w, choice.DestinationID(dest)
+	n.Workload, n.Destination, n.Account = w, choice.DestinationID(dest), s.account(n.tenant)
 	n.takenAt = s.Now()
 	n.HardStop = n.takenAt + choice.Time(hold*float64(choice.Millisecond))
 	n.size = journal.Framed(len(n.record()))
 	return n, nil
 }
 
+// account is whose share a message counts to. One of a tenant that the settings do not name counts to none.
+func (s *Sender) account(tenant string) choice.AccountNo {
+	if no, known := s.cfg.Accounts[tenant]; known {
+		return no
+	}
+	return -1
+}
+
 func number(text string) float64 {
 	// Digits, and decimals at most: names like Infinity, exponents and hexadecimal ones are nobody's meaning.
 	v, err := strconv.ParseFloat(text, 64)
--- /dev/null
+++ b/internal/sender/connecting_test.go
@@ -0,0 +1,152 @@
+package sender
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"flaxcove/choice"
+	"flaxcove/internal/directory"
+	"flaxcove/internal/journal"
+	"flaxcove/internal/resp"
+)
+
+// A process that ends while a call waits for its connection has sent nothing: the next one still tries a single-use
+// notice. Once the connection is up the call may have left, and the notice is given up.
+func TestKilledWhileConnecting(t *testing.T) {
+	t.Parallel()
+	for _, up := range []bool{false, true} {
+		dir := t.TempDir()
+		l := follow(t, startAs(configureFour(dir, 100)))
+		l.s.dial = func(c *call) {
+			if up {
+				l.s.recordOut(c)
+				l.s.commit()
+			}
+		}
+		c := &client{room: make(chan struct{}, window), gone: true}
+		for i, class := range []string{"single", "line", "token", "pure"} {
+			c.room <- struct{}{}
+			l.s.command(c, words(fmt.Sprintf("OUT.ADD %d %s c=%s,d=8000,dest=1 x", i, class, class)))
+		}
+		l.goOn(5*time.Millisecond, time.Hour)
+		if l.s.counts.takenOn != 4 || l.s.counts.dispatches == 0 {
+			t.Fatalf("taken on %d, dispatches %d", l.s.counts.takenOn, l.s.counts.dispatches)
+		}
+		sent := map[choice.NoticeID]bool{}
+		for id, n := range l.s.owed {
+			sent[id] = n.out != nil
+		}
+		again := follow(t, startAt(configureFour(dir, 100), l.clock+600*time.Millisecond))
+		again.goOn(9*time.Second, 20*time.Millisecond)
+		for id := range sent {
+			single := id == "single" || id == "line"
+			if called := again.calls[id] == 1; called == (single && sent[id] && up) {
+				t.Errorf("connection up: %v; %s, out: %v, called again: %v", up, id, sent[id], called)
+			}
+		}
+	}
+}
+
+// Whatever an endpoint sees of a call, it is on record by then: on a new connection and on a kept one.
+func TestOnRecordBeforeFirstByte(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	var lock sync.Mutex
+	var wrong, seen []string
+	endpoint, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer endpoint.Close()
+	go func() {
+		for {
+			conn, err := endpoint.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				in := bufio.NewReader(conn)
+				for {
+					if _, err := in.Peek(1); err != nil {
+						return
+					}
+					// The file as it is with the first byte, which a copy is read from: opening it writes.
+					text, _ := os.ReadFile(filepath.Join(dir, "notices.log"))
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					id := r.Header.Get("X-Request-Id")
+					lock.Lock()
+					seen = append(seen, id)
+					if !outIn(text, id) {
+						wrong = append(wrong, id)
+					}
+					lock.Unlock()
+					io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	cfg := configureFour(dir, 100)
+	cfg.Listen, cfg.Discovery = "127.0.0.1:0", "127.0.0.1:1"
+	cfg.Known.Servers = []directory.Entry{{ID: "a", Addr: endpoint.Addr().String(), Zone: "z", Kind: "one", Cell: 1, State: "up", Weight: 9}}
+	s, conn, done := running(t, cfg)
+	in := bufio.NewReader(conn)
+	const all = 12
+	for i := range all {
+		class := []string{"single", "token"}[i%2]
+		conn.Write(resp.AppendCommand(nil, []byte("OUT.ADD"), []byte("0"), fmt.Append(nil, "n", i), fmt.Appendf(nil, "c=%s,d=8000,dest=1", class), []byte("x")))
+		if line, err := in.ReadString('\n'); line != "+OK\r\n" {
+			t.Fatalf("%q %v", line, err)
+		}
+		if i%4 == 3 { // some one by one on kept connections, some at once on new ones
+			for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+				lock.Lock()
+				n := len(seen)
+				lock.Unlock()
+				if n == i+1 {
+					break
+				}
+			}
+		}
+	}
+	conn.Close()
+	s.Drain()
+	<-done
+	lock.Lock()
+	defer lock.Unlock()
+	if len(seen) != all || len(wrong) > 0 {
+		t.Errorf("seen %d of %d, not on record by then: %v", len(seen), all, wrong)
+	}
+}
+
+// outIn tells whether a journal's text holds a record of a call out for an id.
+func outIn(text []byte, id string) (is bool) {
+	dir, err := os.MkdirTemp("", "copy")
+	if err != nil {
+		return false
+	}
+	defer os.RemoveAll(dir)
+	if os.WriteFile(filepath.Join(dir, "notices.log"), text, 0o600) != nil {
+		return false
+	}
+	j, _, err := journal.Open(dir, 1<<20, func(record []byte) {
+		is = is || record[0] == recOut && strings.HasPrefix(string(record), string(plainRecord(recOut, choice.NoticeID(id))))
+	})
+	if err == nil {
+		j.Close()
+	}
+	return is
+}
--- a/internal/sender/cut_test.go
+++ b/internal/sender/cut_test.go
@@ -64,6 +64,8 @@
 	}
 	did = map[choice.NoticeID]*history{}
 	r.s.dial = func(c *call) {
+		r.s.recordOut(c) // its connection is up at once
+		r.s.commit()
 		r.calls = append(r.calls, c)
 		for _, n := range c.notices {
 			did[n.ID].left = append(did[n.ID].left, size())
--- a/internal/sender/ends_test.go
+++ b/internal/sender/ends_test.go
@@ -84,7 +84,7 @@
 			}
 			r.hand("OUT.ADD 00 id c=order,d=20000,dest=1 " + body)
 			c, n := r.calls[0], r.s.owed["id"]
-			r.s.dialed(c, conn, nil)
+			r.comesUp(c, conn)
 			if row.narrow {
 				if _, err := peer.Read(make([]byte, 1)); err != nil {
 					t.Fatal(err)
@@ -166,7 +166,7 @@
 		r := start(t.TempDir(), 100)
 		r.hand("OUT.ADD 0 o1 c=order,d=20000,dest=2 xyz", "OUT.ADD 0 o2 c=order,d=20000,dest=2 xyz")
 		c, n1, n2 := r.calls[0], r.s.owed["o1"], r.s.owed["o2"]
-		r.s.dialed(c, conn, nil)
+		r.comesUp(c, conn)
 		heardBy(t, peer, "]")
 		peer.Write([]byte(row.text))
 		peer.Close()
@@ -189,7 +189,7 @@
 		body := strings.Repeat("x", 60000)
 		r.hand("OUT.ADD 00 first c=order,d=20000,dest=1 " + body)
 		c, e := r.calls[0], r.s.endpoints["a"]
-		r.s.dialed(c, conn, nil)
+		r.comesUp(c, conn)
 		l := c.link
 		if _, err := peer.Read(make([]byte, 1)); err != nil {
 			t.Fatal(err)
--- /dev/null
+++ b/internal/sender/keys_test.go
@@ -0,0 +1,74 @@
+package sender
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"flaxcove/choice"
+)
+
+// shared has tenants with shares, and a class whose repeats are known by an idempotency key.
+func shared(dir string) *rig {
+	text := strings.Replace(fmt.Sprintf(boot, 100), `{"balancers":2`,
+		`{"accounts":[{"name":"left","quotaRps":5},{"name":"right/2","quotaRps":5}],"balancers":2`, 1)
+	text = strings.Replace(text, `"name":"status","idempotency":"pure"`, `"name":"status","idempotency":"token","repeatWindow":4000000000`, 1)
+	return startAs(configureAs(dir, text, known))
+}
+
+// An idempotency key goes to endpoints as it came, alone and in a bundle, also after a restart: without it they know no
+// repeat, and refuse the message as one that nobody handed in. A tenant's messages count to its own share, and those of
+// one that the settings do not name to none: all used to count to the first one's.
+func TestKeysAndTenants(t *testing.T) {
+	dir := t.TempDir()
+	r := shared(dir).hand("OUT.ADD 0a one c=status,t=right/2,d=6000,k=b8f3df7e144ea1f2,dest=1 x")
+	r.hand("OUT.ADD 0b two c=status,t=left,d=6000,k=k-2,dest=2 x", "OUT.ADD 0c three c=order,t=stranger,d=20000,dest=2 x")
+	check := func(r *rig) {
+		t.Helper()
+		for id, want := range map[string][3]any{"one": {"b8f3df7e144ea1f2", "right/2", 1}, "two": {"k-2", "left", 0}, "three": {"", "stranger", -1}} {
+			n := r.s.owed[choice.NoticeID(id)]
+			if n == nil || n.idempotencyKey != want[0] || n.tenant != want[1] || int(n.Account) != want[2] {
+				t.Errorf("%s: %+v, want %v", id, n, want)
+			}
+		}
+	}
+	check(r)
+	for _, c := range r.calls {
+		head, body := r.s.request(c)
+		has := func(text, part string) {
+			t.Helper()
+			if !strings.Contains(text, part) {
+				t.Errorf("%q lacks %q", text, part)
+			}
+		}
+		switch {
+		case len(c.notices) == 1 && c.notices[0].ID == "one":
+			has(string(head), "\r\nIdempotency-Key: b8f3df7e144ea1f2\r\n")
+		case len(c.notices) == 2:
+			has(string(body), `"key":"k-2"`)
+			has(string(body), `"key":"0c"`)
+		default:
+			t.Errorf("a call of %d", len(c.notices))
+		}
+	}
+	check(startAt(r.s.cfg, r.clock))
+	r.hand("OUT.ADD 0a bad c=status,d=6000,k=a\"b,dest=1 x")
+	if r.s.owed["bad"] != nil {
+		t.Error("a key that cannot stand in a head was taken on")
+	}
+}
+
+// Whose time is over first does not stand first in a bundle: an endpoint may measure the whole call by its first message.
+func TestFirstOfABundleLastsLongest(t *testing.T) {
+	r := start("", 100)
+	defer os.RemoveAll(r.dir)
+	r.hand("OUT.ADD 0 long c=order,d=20000,dest=2 x", "OUT.ADD 0 middle c=order,d=9000,dest=2 x", "OUT.ADD 0 short c=order,d=5000,dest=2 x")
+	_, body := r.s.request(r.calls[0])
+	at := func(id string) int { return strings.Index(string(body), `"id":"`+id) }
+	if len(r.calls[0].notices) != 3 || at("long") < 0 || at("long") > at("middle") || at("middle") > at("short") {
+		t.Errorf("order in %s", body)
+	}
+	r.turn(5 * time.Millisecond)
+}
--- a/internal/sender/leave.go
+++ b/internal/sender/leave.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"syscall"
 	"time"
 
@@ -29,6 +30,15 @@
 	errEnded = errors.New("the connection had ended, or something had come on it")
 )
 
+// leaveConnected lets the calls leave whose connection came up in this turn; they are on record by now.
+func (s *Sender) leaveConnected() {
+	for _, a := range s.connected {
+		s.leave(a.c, a.l)
+	}
+	clear(s.connected)
+	s.connected = s.connected[:0]
+}
+
 // leave sends a call on a link that is up, without the messages that may not leave any more. Where none may, the call
 // is over and the link idles.
 func (s *Sender) leave(c *call, l *link) {
@@ -50,7 +60,9 @@
 	if c.over || s.Now() >= c.began+c.lasts || l.astray() || !s.module.Open(c.e.id) {
 		return false
 	}
-	for _, n := range append([]*notice(nil), c.notices...) {
+	// One may have parted while the write waited: its end is told already.
+	c.notices = slices.DeleteFunc(c.notices, func(n *notice) bool { return n.out != c })
+	for _, n := range slices.Clone(c.notices) {
 		if s.Now() > s.windowEnd(n) || !s.module.Open(c.e.id, n.ID) {
 			s.part(c, n)
 		}
--- a/internal/sender/leave_test.go
+++ b/internal/sender/leave_test.go
@@ -105,7 +105,7 @@
 		t.Fatalf("%d messages in the bundle", len(c.notices))
 	}
 	r.clock += time.Second
-	r.s.dialed(c, conn, nil)
+	r.comesUp(c, conn)
 	if c.over {
 		t.Fatal("none of the bundle left")
 	}
--- a/internal/sender/links.go
+++ b/internal/sender/links.go
@@ -70,6 +70,12 @@
 	began  bool
 }
 
+// arrival is a call whose connection came up in this turn.
+type arrival struct {
+	c *call
+	l *link
+}
+
 type links struct {
 	open     int // idle, busy and coming up
 	mostOpen int
@@ -131,7 +137,8 @@
 		// It ended before netpoll knew whom to tell.
 		conn.Close()
 	}
-	s.leave(c, l)
+	s.stirred = true
+	s.connected = append(s.connected, arrival{c, l})
 }
 
 // astray tells whether a link leads to where its endpoint is not, or not any more: at its old address there may be
--- a/internal/sender/links_test.go
+++ b/internal/sender/links_test.go
@@ -19,7 +19,7 @@
 		c := r.calls[0]
 		r.list(movedA)
 		c.over = over
-		r.s.dialed(c, conn, nil)
+		r.comesUp(c, conn)
 		if n := len(r.s.endpoints["a"].idle); n != 0 || c.link != nil {
 			t.Errorf("over %v: idle %d, left %v", over, n, c.link != nil)
 		}
@@ -38,7 +38,7 @@
 	r := start(t.TempDir(), 100)
 	r.hand("OUT.ADD 00 id c=order,d=20000,dest=1 xyz")
 	c := r.calls[0]
-	r.s.dialed(c, conn, nil)
+	r.comesUp(c, conn)
 	heardBy(t, peer, "xyz")
 	r.list(movedA)
 	peer.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
@@ -72,7 +72,7 @@
 		r.hand("OUT.ADD 00 id c=order,d=20000,dest=1 x")
 		c, e := r.calls[0], r.s.endpoints["a"]
 		of.comes(r, c)
-		r.s.dialed(c, conn, nil)
+		r.comesUp(c, conn)
 		if !c.over || c.link != nil || len(e.idle) != of.idle {
 			t.Errorf("%s: over %v, left %v, idle %d", of.name, c.over, c.link != nil, len(e.idle))
 		}
--- a/internal/sender/meet_test.go
+++ b/internal/sender/meet_test.go
@@ -63,7 +63,7 @@
 	r.s.begin(c)
 	r.calls = r.calls[:len(r.calls)-1]
 	c.over = true
-	r.s.dialed(c, conn, nil)
+	r.comesUp(c, conn)
 	if len(c.e.idle) != 1 {
 		t.Fatalf("%d idle links", len(c.e.idle))
 	}
--- a/internal/sender/records.go
+++ b/internal/sender/records.go
@@ -31,6 +31,9 @@
 	out = appendText(out, string(n.body))
 	if n.takenAt != 0 {
 		out = binary.AppendVarint(out, int64(n.HardStop-n.takenAt)) // records of older processes end before it
+		if n.idempotencyKey != "" || n.tenant != "" {
+			out = appendText(appendText(out, n.idempotencyKey), n.tenant) // or here; older ones pass this over
+		}
 	}
 	return out
 }
--- a/internal/sender/replay.go
+++ b/internal/sender/replay.go
@@ -88,13 +88,16 @@
 		n.body = []byte(p.text())
 		if !p.broken && len(p.rest) > 0 {
 			n.takenAt = n.HardStop - choice.Time(p.number())
+			if len(p.rest) > 0 {
+				n.idempotencyKey, n.tenant = p.text(), p.text()
+			}
 		}
 		n.Workload = s.cfg.Workloads[n.workload] // an unknown one has the start refused, unless it is over
 		if p.broken {
 			s.log.Warn("journal: a notice cannot be read", zap.String("id", string(id)), zap.String("workload", n.workload))
 			return
 		}
-		n.Key = orderKey(n.key)
+		n.Key, n.Account = orderKey(n.key), s.account(n.tenant)
 		s.latest = max(s.latest, n.takenAt)
 		s.owed[id] = n
 		s.order = append(s.order, n)
--- a/internal/sender/rig_test.go
+++ b/internal/sender/rig_test.go
@@ -61,6 +61,10 @@
 	for i, class := range b.Classes {
 		c.Workloads[class.Name] = choice.WorkloadNo(i)
 	}
+	c.Accounts = map[string]choice.AccountNo{}
+	for i, a := range b.Accounts {
+		c.Accounts[a.Name] = choice.AccountNo(i)
+	}
 	for i, zone := range b.Zones {
 		c.Zones[zone] = choice.ZoneNo(i)
 	}
@@ -90,7 +94,11 @@
 		fmt.Println(strings.ReplaceAll(err.Error(), dir, "DIR"))
 		return r
 	}
-	s.dial = func(c *call) { r.calls = append(r.calls, c) }
+	s.dial = func(c *call) { // its connection is up at once, and it leaves
+		s.recordOut(c)
+		s.commit()
+		r.calls = append(r.calls, c)
+	}
 	s.tell = func(_ string, body []byte) (int, error) {
 		if !r.up {
 			return 0, os.ErrDeadlineExceeded
@@ -124,6 +132,13 @@
 }
 
 // client is one that has just come by a connection.
+// comesUp has a connection that a call waits for come up, and the turn end.
+func (r *rig) comesUp(c *call, conn netpoll.Connection) {
+	r.s.dialed(c, conn, nil)
+	r.s.commit()
+	r.s.leaveConnected()
+}
+
 func (r *rig) client(conn netpoll.Connection) *client {
 	c := &client{conn: conn, came: r.clock, room: make(chan struct{}, window)}
 	r.s.clients.all[c] = struct{}{}
--- a/internal/sender/route.go
+++ b/internal/sender/route.go
@@ -41,6 +41,7 @@
 type routing struct {
 	endpoints map[choice.EndpointID]*endpoint
 	starting  []*call                   // of this turn
+	connected []arrival                 // likewise; they leave with its end
 	wakes     map[choice.TimerID]*timer // the module's; each leaves as it fires or is forgotten
 	// When a destination last had an endpoint, as of the last news; it leaves once that is keepCell ago.
 	cells    map[choice.DestinationID]time.Duration
--- a/internal/sender/sockets_test.go
+++ b/internal/sender/sockets_test.go
@@ -189,7 +189,7 @@
 	r.hand("OUT.ADD 00 id c=order,d=20000,dest=1 x")
 	c := r.calls[0]
 	c.over = true // so that the link comes up idle
-	r.s.dialed(c, conn, nil)
+	r.comesUp(c, conn)
 	l := c.e.idle[0]
 	l.conn.Close()
 	c.over = false
@@ -210,7 +210,7 @@
 	r.hand("OUT.ADD 00 id c=status,d=6000,dest=1 x")
 	c := r.calls[0]
 	r.clock += 7 * time.Second
-	r.s.dialed(c, conn, nil)
+	r.comesUp(c, conn)
 	if !c.over || c.link != nil {
 		t.Errorf("the call left after its time: over %v", c.over)
 	}
