No call leaves between bytes unasked for and the end of their link

TestMeetsAtIdleLink itself now waits until the bytes are laid up. What netpoll has taken from the socket and not laid up yet still goes unseen; this gap is as short as that between the last look and the first byte.

--- a/internal/sender/leave.go
+++ b/internal/sender/leave.go
@@ -100,13 +100,14 @@
 }
 
 // ask takes what comes from now on for the answer, unless something has come, or the end: then nothing may leave. It
-// stands right before the first byte, as bytes of an idle link may come in any moment until then.
+// stands right before the first byte, as bytes of an idle link may come in any moment until then. What netpoll has
+// taken from the socket and not laid up yet is not seen: a gap as short as that between here and the first byte.
 func (l *link) ask() bool {
 	l.reading.Lock()
 	defer l.reading.Unlock()
 	l.bufferLock.Lock()
 	defer l.bufferLock.Unlock()
-	quiet := !l.noBuffer && nothingCame(l.conn)
+	quiet := !l.noBuffer && !l.bad.Load() && nothingCame(l.conn)
 	l.asked.Store(quiet)
 	return quiet
 }
--- a/internal/sender/leave_test.go
+++ b/internal/sender/leave_test.go
@@ -38,7 +38,7 @@
 			t.Fatal("no call on the link")
 		}
 		of.comes(peer, func() { peer.Close() })
-		for end := time.Now().Add(meetFor); nothingCame(conn) && time.Now().Before(end); {
+		for end := time.Now().Add(meetFor); conn.Reader().Len() == 0 && !l.bad.Load() && conn.IsActive() && time.Now().Before(end); {
 			time.Sleep(time.Millisecond)
 		}
 		release()
@@ -53,6 +53,31 @@
 	}
 }
 
+// No call may leave on a link on which something has come, whether it lies in the socket's buffers or has been read and
+// found to be unasked for, with the connection's end yet to come.
+func TestAskSeesWhatCame(t *testing.T) {
+	conn, peer := met(t, false) // read by the test alone
+	conn.SetReadTimeout(meetFor)
+	l := &link{conn: conn}
+	if !l.ask() {
+		t.Error("a quiet link takes no call")
+	}
+	l.asked.Store(false)
+	peer.Write([]byte("HTTP"))
+	if _, err := conn.Reader().Peek(4); err != nil {
+		t.Fatal(err)
+	}
+	if l.ask() {
+		t.Error("a call leaves behind bytes that nobody asked for")
+	}
+	if _, err := l.read(conn); err == nil {
+		t.Error("bytes that nobody asked for are taken")
+	}
+	if l.ask() {
+		t.Error("a call leaves between the bytes that nobody asked for and the end of their link")
+	}
+}
+
 // lostOnce hands a message in whose first call is reset, and lets the time of its next come while nothing may leave.
 func lostOnce(t *testing.T, r *rig, commands ...string) {
 	t.Helper()
--- a/internal/sender/reading.go
+++ b/internal/sender/reading.go
@@ -27,7 +27,6 @@
 	}
 	if err != nil {
 		// At once: it may go on for gigabytes.
-		l.bad.Store(true)
 		err = errors.Join(err, conn.Close())
 	}
 	return err
@@ -38,6 +37,8 @@
 func (l *link) read(conn netpoll.Connection) (tell func(), err error) {
 	l.reading.Lock()
 	defer l.reading.Unlock()
+	// Under the lock: between here and the connection's end no call may leave on it.
+	defer func() { l.bad.Store(l.bad.Load() || err != nil) }()
 	r := conn.Reader()
 	piece, err := r.Next(r.Len())
 	if err != nil {
