--- a/internal/sender/keys_test.go
+++ b/internal/sender/keys_test.go
@@ -72,3 +72,22 @@
 	}
 	r.turn(5 * time.Millisecond)
 }
+
+// A message that parted while its call's write waited, as in a process that stood still, has been told its end: the
+// call leaves without it.
+func TestPartedStaysBehind(t *testing.T) {
+	r := start("", 100)
+	defer os.RemoveAll(r.dir)
+	r.hand("OUT.ADD 0 stays c=order,d=20000,dest=2 x", "OUT.ADD 0 parts c=status,d=500,dest=2 x")
+	c := r.calls[0]
+	l := &link{s: r.s, e: c.e, addr: c.e.addr}
+	c.link = l
+	r.turn(600 * time.Millisecond)
+	if len(c.notices) != 2 || c.notices[0].out != c && c.notices[1].out != c {
+		t.Fatalf("%d notices", len(c.notices))
+	}
+	c.link = nil
+	if !r.s.mayLeave(c, l) || len(c.notices) != 1 || c.notices[0].ID != "stays" {
+		t.Errorf("leaves with %v", c.ids())
+	}
+}
