--- a/internal/sender/admit.go
+++ b/internal/sender/admit.go
@@ -27,7 +27,7 @@
 // notice is one that was handed in and has not ended. It leaves Sender.owed when nothing more is owed for it.
 type notice struct {
 	choice.Notice
-	key string // by which order is kept
+	key string // by which order is kept; in a bulk call it stands where no idempotency key was told
 	// Both as the client told them. Endpoints know a repeat by the first, whatever id it came under.
 	idempotencyKey, tenant string
 	workload               string
