--- a/review/_src/endpoint.go
+++ b/review/_src/endpoint.go
@@ -34,6 +34,8 @@
 	server *http.Server
 	ln     net.Listener
 
+	hungEnded chan struct{} // closed when the connection of a call that is not answered has ended; may be nil
+
 	mu     sync.Mutex
 	decide func(ids []string) answer
 	calls  []oneCall
@@ -123,9 +125,13 @@
 	e.finish(w, r, a, ids, body)
 }
 
-func (e *endpoint) finish(w http.ResponseWriter, r *http.Request, a answer, _ []string, body string) {
+func (e *endpoint) finish(w http.ResponseWriter, r *http.Request, a answer, ids []string, body string) {
 	if a.hang {
 		<-r.Context().Done()
+		if e.hungEnded != nil {
+			e.rec.line("%s: the connection of the call with %v has ended", e.name, ids)
+			close(e.hungEnded)
+		}
 		return
 	}
 	if a.delay > 0 {
--- a/review/_src/platform.go
+++ b/review/_src/platform.go
@@ -35,6 +35,8 @@
 	rec    *record
 	addr   string
 	server *http.Server
+	ln     net.Listener
+	shared *platform // gets the notices; nil for this one
 
 	mu      sync.Mutex
 	version int64
@@ -69,6 +71,7 @@
 	mux.HandleFunc("GET /api/targets", p.targets)
 	mux.HandleFunc("POST /v1/outcomes", p.outcomes)
 	p.server = &http.Server{Handler: mux}
+	p.ln = ln
 	go func() { _ = p.server.Serve(ln) }()
 	return p, nil
 }
@@ -195,9 +198,13 @@
 		n.at = time.Now()
 		all = append(all, n)
 	}
-	p.mu.Lock()
-	p.notices = append(p.notices, all...)
-	p.mu.Unlock()
+	to := p
+	if p.shared != nil {
+		to = p.shared
+	}
+	to.mu.Lock()
+	to.notices = append(to.notices, all...)
+	to.mu.Unlock()
 	for _, n := range all {
 		p.rec.line("platform: notice for %s: %s", n.Message, n.Outcome)
 	}
--- a/review/_src/process.go
+++ b/review/_src/process.go
@@ -210,3 +210,24 @@
 		"zone": 0, "zones": []string{"marabella"},
 	}
 }
+
+// rewrite replaces the configuration file of the process by a changed one.
+func (p *process) rewrite(change func(map[string]any)) error {
+	path := filepath.Join(p.folder, "config.json")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var config map[string]any
+	if err := json.Unmarshal(text, &config); err != nil {
+		return err
+	}
+	change(config)
+	if text, err = json.Marshal(config); err != nil {
+		return err
+	}
+	if err := os.WriteFile(path+".new", text, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
