Discovery: a call for the list is open at any time, so that its return is heard at once

Cause: of the calls that stall while an agent is silent, only the oldest was read, for 6 s; when it ended, the sender waited up to 3.8 s for the next call with none open (watch.go, handle). The waits keep the bound of 6 s of a change in general; for pushed lists what an agent gets at its return counts at once.

Change: two stalled calls are read, the oldest for its 6 s and the newest until the next one has stalled. The next begins at most 4.85 s after it, so one is always open. The times of calls are the same, so fleets call no oftener (TestPrice, TestFleetOutage unchanged).

--- a/internal/directory/fleet_test.go
+++ b/internal/directory/fleet_test.go
@@ -44,16 +44,16 @@
 		var all sync.WaitGroup
 		for i := range senders {
 			random, heard := rand.New(rand.NewPCG(7, uint64(i))), false
-			w := &watcher{addr: "discovery:1", timing: defaultTiming(senders), dial: f.dial, onFailure: func(error) {},
+			w := &watcher{addr: "discovery:1", timing: defaultTiming(senders), dial: f.dial,
 				jitter: func(most time.Duration) time.Duration { return time.Duration(random.Int64N(int64(most))) },
-				onList: func(List) {
+				callbacks: onListOnly(func(List) {
 					mu.Lock()
 					defer mu.Unlock()
 					if !heard {
 						heard, last = true, time.Since(f.start)
 						watches++
 					}
-				}}
+				})}
 			all.Go(func() { w.run(stop) })
 		}
 		time.Sleep(span)
--- a/internal/directory/outage_test.go
+++ b/internal/directory/outage_test.go
@@ -87,12 +87,12 @@
 // was received. It gives up after five minutes.
 func (o *outage) recoveryTime(senders int, jitter func(time.Duration) time.Duration) time.Duration {
 	heard, stop, done := make(chan time.Time, 1), make(chan struct{}), make(chan struct{})
-	w := &watcher{addr: "discovery:1", timing: defaultTiming(senders), dial: o.dial, jitter: jitter, onFailure: func(error) {},
-		onList: func(l List) {
+	w := &watcher{addr: "discovery:1", timing: defaultTiming(senders), dial: o.dial, jitter: jitter,
+		callbacks: onListOnly(func(l List) {
 			if l.Version == 9 {
 				heard <- time.Now()
 			}
-		}}
+		})}
 	go func() {
 		w.run(stop)
 		close(done)
--- a/internal/directory/silence_test.go
+++ b/internal/directory/silence_test.go
@@ -105,6 +105,11 @@
 	}
 }
 
+// onListOnly returns callbacks of which only OnList does something.
+func onListOnly(onList func(List)) Callbacks {
+	return Callbacks{OnList: onList, OnEstablished: func(Established) {}, OnFailure: func(error) {}}
+}
+
 // received is the version of a list and when it was received.
 type received struct {
 	version int64
@@ -112,17 +117,17 @@
 }
 
 // runWatch runs a watch against d for the time span, with the maximum length of every random wait. It returns the lists
-// received and the errors reported to onFailure.
+// received and the errors reported to OnFailure.
 func runWatch(senders int, span time.Duration, d *fakeDiscovery) (all []received, ends []error) {
 	stop := make(chan struct{})
 	d.start = time.Now()
 	w := &watcher{addr: "discovery:1", timing: defaultTiming(senders), dial: d.dial,
 		jitter: func(most time.Duration) time.Duration { return most },
-		onList: func(l List) {
+		callbacks: onListOnly(func(l List) {
 			all = append(all, received{l.Version, time.Since(d.start)})
 			time.Sleep(d.processPause)
-		},
-		onFailure: func(err error) { ends = append(ends, err) }}
+		})}
+	w.callbacks.OnFailure = func(err error) { ends = append(ends, err) }
 	done := make(chan struct{})
 	go func() {
 		w.run(stop)
@@ -265,7 +270,7 @@
 	}()
 	var d net.Dialer
 	versions, stop, done := make(chan int64, 100), make(chan struct{}), make(chan struct{})
-	w := &watcher{addr: listener.Addr().String(), timing: defaultTiming(1), onList: func(l List) { versions <- l.Version }, onFailure: func(error) {},
+	w := &watcher{addr: listener.Addr().String(), timing: defaultTiming(1), callbacks: onListOnly(func(l List) { versions <- l.Version }),
 		dial:   func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
 		jitter: func(most time.Duration) time.Duration { return most }}
 	w.timing.MaxSilence /= 10
--- a/internal/directory/timing.go
+++ b/internal/directory/timing.go
@@ -41,7 +41,8 @@
 	// MessageTimeout is the time from the first byte of a message to its last.
 	MessageTimeout time.Duration
 	// StalledTimeout replaces HeadTimeout and MessageTimeout for a stalled call that is read in parallel with the next
-	// one; twice its value replaces FirstSignTimeout. A stalled call may be slow because it delays nothing.
+	// one; twice its value replaces FirstSignTimeout. A stalled call may be slow because it delays nothing. It is longer
+	// than maxInterval, so that the next call starts before the stalled one is given up.
 	StalledTimeout time.Duration
 	// ReconnectSpread is the maximum wait before the call after a closed watch. It spreads the calls of all senders when
 	// a restarting discovery closes all watches at once.
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -1,13 +1,18 @@
 // Package directory receives the list of endpoints from service discovery.
 //
-// It defines the JSON format of the list and has at most two connections to discovery. It gets the full list and its
+// It defines the JSON format of the list and has at most three connections to discovery. It gets the full list and its
 // changes through a watch, a call whose answer stays open, and calls again when the watch ends or falls silent. It
 // continues until it is stopped, no answer of discovery makes it panic, and it leaves out invalid entries.
 //
 // Calls start one after another. A call that stalls before its first sign of life is read for a while in parallel with
-// the next one. Otherwise a list that is always slow would never be received, or waiting for it would delay the next
-// call beyond NotifyWithin. The call with the first sign of life becomes the watch, and the other one is stopped. The
-// cost is one more connection while discovery sends nothing. The drawback: if a stalled call at last receives an old
+// the next ones. The call with the first sign of life becomes the watch, and the others are stopped. Two stalled calls
+// are read at most:
+//   - the oldest, for StalledTimeout. Otherwise a list that is always slow would never be received, or waiting for it
+//     would delay the next call beyond NotifyWithin.
+//   - the newest, until the next call has stalled. A discovery that is silent answers its open calls when it returns, and
+//     a pushed list counts as notified at that moment. So a call is open at any time while calls are accepted.
+//
+// The cost is two more connections while discovery sends nothing. The drawback: if a stalled call at last receives an old
 // list and then falls silent, MaxSilence starts again from that list.
 //
 // watch.go starts the calls, timing.go computes when the next one starts, call.go implements one call, and list.go
@@ -18,9 +23,13 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 )
 
+// maxStalled is the maximum number of stalled calls that are read.
+const maxStalled = 2
+
 // watcher calls discovery again and again. The goroutine in run owns it; calls send it events.
 type watcher struct {
 	addr      string
@@ -31,11 +40,23 @@
 	events    chan event
 	nextCall  *time.Timer // starts the next call; runs only while newest is nil
 	newest    *call       // the last call started, or the open watch; nil while the watcher waits to start the next call
-	stalled   *call       // a stalled call, read until either call has a sign of life or its timeout expires; nil if there is none
+	stalled   []*call     // the oldest and the newest stalled call, read until a call has a sign of life or their timeout expires
 	dial      func(ctx context.Context, addr string) (net.Conn, error)
 	jitter    func(time.Duration) time.Duration // draws a wait evenly between 0 and its argument
-	onList    func(List)
-	onFailure func(error)
+	callbacks Callbacks
+}
+
+// Callbacks receive what happens to a watch. They are called on the goroutine that called Watch, and none may be nil.
+type Callbacks struct {
+	OnList        func(List)        // called with each message
+	OnEstablished func(Established) // called when a call becomes the watch, before OnList
+	OnFailure     func(error)       // called with the reason when a call stalls or ends
+}
+
+// Established describes the call that became the watch by its first sign of life.
+type Established struct {
+	CallAge time.Duration // since the start of the call
+	Silence time.Duration // since the last sign of life of any call; for the first watch, since the start of the watcher
 }
 
 // event is a report of a call to the watcher.
@@ -57,9 +78,8 @@
 )
 
 // Watch receives the list from discovery at addr, to which the given number of senders connect, until stop is closed. It
-// asks for changes after the version since. It calls onList with each message, and onFailure with the reason when a call
-// stalls or ends, both on the calling goroutine.
-func Watch(addr string, senders int, since int64, stop <-chan struct{}, onList func(List), onFailure func(error)) {
+// asks for changes after the version since.
+func Watch(addr string, senders int, since int64, stop <-chan struct{}, callbacks Callbacks) {
 	var d net.Dialer
 	w := &watcher{
 		addr:      addr,
@@ -67,8 +87,7 @@
 		timing:    defaultTiming(senders),
 		dial:      func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
 		jitter:    func(most time.Duration) time.Duration { return rand.N(most) },
-		onList:    onList,
-		onFailure: onFailure,
+		callbacks: callbacks,
 	}
 	w.run(stop)
 }
@@ -86,64 +105,74 @@
 		select {
 		case <-stop:
 			if w.newest != nil {
-				w.onFailure(errStopped)
+				w.callbacks.OnFailure(errStopped)
 			}
 			return
 		case <-w.nextCall.C:
 			w.newest = w.startCall(ctx)
 		case e := <-w.events:
 			// Events of calls that have been stopped are ignored.
-			if e.call == w.newest || e.call == w.stalled {
+			if e.call == w.newest || slices.Contains(w.stalled, e.call) {
 				w.handle(e)
 			}
 		}
 	}
 }
 
-// handle handles an event of one of the two current calls.
+// handle handles an event of one of the current calls.
 func (w *watcher) handle(e event) {
 	c := e.call
 	switch {
 	case e.kind == signOfLife:
+		if !c.established {
+			w.establish(c)
+		}
 		w.lastSign, w.backoff = time.Now(), backoff{}
-		c.established = true
-		w.establish(c)
 		if e.list != nil {
 			w.version = e.list.Version
-			w.onList(*e.list)
+			w.callbacks.OnList(*e.list)
 		}
 	case e.kind == stalled && c == w.newest && !c.established:
-		w.onFailure(e.err)
+		w.callbacks.OnFailure(e.err)
 		w.newest = nil
-		if w.stalled == nil {
-			w.stalled = c
-		} else {
-			c.stop()
-		}
+		w.keepStalled(c)
 		w.scheduleNext(silent, c)
 	case e.kind == ended && c == w.newest:
 		c.stop()
-		w.onFailure(e.err)
+		w.callbacks.OnFailure(e.err)
 		w.newest = nil
 		w.scheduleNext(e.how, c)
 	case e.kind == ended:
 		c.stop()
-		w.stalled = nil
+		w.stalled = slices.DeleteFunc(w.stalled, func(other *call) bool { return other == c })
 		if e.how == errorStatus { // an error status affects the backoff however late it arrives
-			w.onFailure(e.err)
+			w.callbacks.OnFailure(e.err)
 			w.scheduleNext(errorStatus, c)
 		}
 	}
 }
 
-// establish makes c the watch, stops the other call, and stops the timer of the next one.
+// keepStalled adds a call to the stalled ones. If there are too many, it stops the one before, and keeps the oldest.
+func (w *watcher) keepStalled(c *call) {
+	if len(w.stalled) == maxStalled {
+		w.stalled[maxStalled-1].stop()
+		w.stalled = w.stalled[:maxStalled-1]
+	}
+	w.stalled = append(w.stalled, c)
+}
+
+// establish makes c the watch, stops the other calls, and stops the timer of the next one.
 func (w *watcher) establish(c *call) {
+	c.established = true
+	w.callbacks.OnEstablished(Established{CallAge: time.Since(c.startedAt), Silence: time.Since(w.lastSign)})
 	if w.newest != nil && w.newest != c {
 		w.newest.stop()
-		w.onFailure(errSuperseded)
+		w.callbacks.OnFailure(errSuperseded)
 	}
-	if w.stalled != nil && w.stalled != c {
-		w.stalled.stop() // its stall has been reported to onFailure
+	for _, other := range w.stalled {
+		if other != c {
+			other.stop() // its stall has been reported to OnFailure
+		}
 	}
 	w.newest, w.stalled = c, nil
 	w.nextCall.Stop()
--- a/internal/directory/watch_test.go
+++ b/internal/directory/watch_test.go
@@ -31,22 +31,22 @@
 	}))
 	defer server.Close()
 	stop := make(chan struct{})
-	Watch(server.Listener.Addr().String(), 2, 4, stop,
-		func(l List) {
-			fmt.Println("version", l.Version)
-			if l.Version == 7 {
-				close(stop)
-			}
-		},
-		func(err error) {
-			select {
-			case <-stop:
-				return // the reported error is that of the stop or of the server's end, whichever comes first
-			default:
-			}
-			var syntax *json.SyntaxError
-			fmt.Println("ended:", err, errors.As(err, &syntax))
-		})
+	callbacks := onListOnly(func(l List) {
+		fmt.Println("version", l.Version)
+		if l.Version == 7 {
+			close(stop)
+		}
+	})
+	callbacks.OnFailure = func(err error) {
+		select {
+		case <-stop:
+			return // the reported error is that of the stop or of the server's end, whichever comes first
+		default:
+		}
+		var syntax *json.SyntaxError
+		fmt.Println("ended:", err, errors.As(err, &syntax))
+	}
+	Watch(server.Listener.Addr().String(), 2, 4, stop, callbacks)
 	// Output:
 	// GET /api/targets?follow=1&since=4
 	// version 5
@@ -74,21 +74,21 @@
 	defer server.Close()
 	stop := make(chan struct{})
 	names := NameNumbers{}
-	Watch(server.Listener.Addr().String(), 2, 7, stop,
-		func(l List) {
-			entries, unread := names.Entries(l)
-			fmt.Println("version", l.Version, "entries", len(entries), "unread", unread)
-			if l.Version == 9 {
-				close(stop)
-			}
-		},
-		func(err error) {
-			select {
-			case <-stop:
-			default:
-				fmt.Println("ended:", err)
-			}
-		})
+	callbacks := onListOnly(func(l List) {
+		entries, unread := names.Entries(l)
+		fmt.Println("version", l.Version, "entries", len(entries), "unread", unread)
+		if l.Version == 9 {
+			close(stop)
+		}
+	})
+	callbacks.OnFailure = func(err error) {
+		select {
+		case <-stop:
+		default:
+			fmt.Println("ended:", err)
+		}
+	}
+	Watch(server.Listener.Addr().String(), 2, 7, stop, callbacks)
 	// Output:
 	// since 7
 	// ended: the server closed the connection in the middle of a message
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -46,13 +46,19 @@
 			}
 		})
 	}
+	onEstablished := func(e directory.Established) {
+		s.post(func() {
+			s.log.Info("discovery: watch established", zap.String("peer", addr), zap.Int64("call_age_ms", e.CallAge.Milliseconds()),
+				zap.Int64("silence_ms", e.Silence.Milliseconds()))
+		})
+	}
 	onEnd := func(err error) {
 		s.post(func() {
 			s.counts.watchesEnded++
 			s.logConnEnded("discovery", addr, watchEnded, err)
 		})
 	}
-	go directory.Watch(addr, s.cfg.Settings.Senders, since, stop, onList, onEnd)
+	go directory.Watch(addr, s.cfg.Settings.Senders, since, stop, directory.Callbacks{OnList: onList, OnEstablished: onEstablished, OnFailure: onEnd})
 }
 
 // endWatches ends the oldest watches, as many as count says.
