Sender: a second copy of an answer is not taken for the answer to the next call

Cause: after an answer its link carried the next call at once. A copy of that answer, which came some milliseconds later, was taken for the next call's answer, and each later call on the link got the answer of the one before. Only what came with the answer, or on an idle link, was seen as too much.

Evidence: in the 11 records that name the copy of the answer just before, it came 2 to 10 ms after the next call. Brought about with real processes by a new fault of the laboratory, second_answers.

--- a/internal/sender/admission.go
+++ b/internal/sender/admission.go
@@ -100,7 +100,7 @@
 // recordCalls adds attempt records for the calls that may be sent after this commit, on idle links or on new ones.
 func (s *Sender) recordCalls() {
 	for _, c := range s.starting {
-		if len(c.endpoint.idle) > 0 {
+		if s.settledLink(c.endpoint) != nil {
 			s.recordAttempt(c)
 		}
 	}
--- a/internal/sender/call.go
+++ b/internal/sender/call.go
@@ -31,14 +31,17 @@
 	beganAt  choice.Time // on the clock of Sender.Now
 	timeout  choice.Time // the longest timeout of its messages
 	addr     string      // the address that is dialled for it
-	link     *link       // nil until its write begins
-	timers   []*timer    // its timeout, and earlier deadlines of its messages; cancelled once it is done
-	done     bool        // its outcome is decided
+	// sendingSince is when the dial for it began, or its write on a link that had carried a call before; since the start.
+	sendingSince time.Duration
+	link         *link    // nil until its write begins
+	timers       []*timer // its timeout, and earlier deadlines of its messages; cancelled once it is done
+	done         bool     // its outcome is decided
 	// recorded reports that the journal has the call as one that may have run. It is false while the call waits for a
 	// connection: a process that is killed then has sent nothing, and a non-idempotent message need not fail.
 	recorded         bool
 	localFailure     bool // the call was never sent, for a reason of this process
 	awaitingCapacity bool // this process could not open a connection for it at the last check
+	awaitingSettling bool // it waits until an idle link has settled
 }
 
 // startCalls begins the calls of this turn, and sends the calls whose connection was established in it.
@@ -87,7 +90,8 @@
 	return m.Deadline - s.Now() - s.cfg.Settings.TurnInterval
 }
 
-// findLink sends a call on an idle link, or dials a new one. If this process cannot open one more connection, the call
+// findLink sends a call on an idle link, or dials a new one. If all idle links are still settling, the call waits for the
+// first of them unless a new one is much faster. If this process cannot open one more connection, the call
 // stays in flight, so that it counts towards the in-flight limit, and the search is repeated until the call's timeout: a
 // local shortage says nothing about the endpoint and must not use up the attempts of its messages.
 func (s *Sender) findLink(c *call) {
@@ -105,13 +109,17 @@
 		s.connectFailed(c)
 		return
 	}
+	if l := s.linkToSettleFirst(c.endpoint); l != nil && !s.newLinkIsFaster(c.endpoint, l) {
+		s.awaitSettling(c, l)
+		return
+	}
 	if s.openLinks >= s.maxLinks && !s.closeOldestIdle() {
 		s.awaitCapacity(c)
 		return
 	}
 	s.openLinks++
 	c.awaitingCapacity = false
-	c.addr = c.endpoint.addr
+	c.addr, c.sendingSince = c.endpoint.addr, s.sinceStart()
 	c.endpoint.linkCount++
 	s.counts.connects++
 	s.dial(c)
@@ -157,7 +165,7 @@
 		return
 	}
 	s.counts.callsTimedOut++
-	if c.awaitingCapacity {
+	if c.awaitingCapacity || c.awaitingSettling {
 		s.endUnsent(c)
 		return
 	}
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -36,6 +36,8 @@
 	lastAnswerAt, reportedLimitAt choice.Time
 	reportedLimit                 float64
 
+	callTimes callTimes // of its successful calls
+
 	turnCall  *call   // the call that collects this turn's messages; nil for none
 	idle      []*link // the link used last is at the end
 	linkCount int     // idle links, busy links and dials in progress
--- a/internal/sender/links.go
+++ b/internal/sender/links.go
@@ -67,6 +67,7 @@
 	lastByteUnsent bool           // the last write ended before its last byte
 	partialAnswer  *partialAnswer // set once the link has ended
 	idleSince      time.Duration  // since the start
+	answeredAt     time.Duration  // when its last answer was complete, since the start; 0 if it has carried none
 	idleTimer      *timer         // set while it is idle
 	idleElement    *list.Element  // its element of linkPool.idleOrder, set while it is idle
 	closeReason    reason
@@ -114,19 +115,21 @@
 	}()
 }
 
-// takeIdle removes and returns the idle link that was used last, so that the others can time out; nil if there is none. It
-// checks the socket itself: a call sent on a link that has ended, but whose end is not handled yet, may count as one that
-// has run.
+// takeIdle removes and returns the settled idle link that was used last, so that the others can time out; nil if there is
+// none. It checks the socket itself: a call sent on a link that has ended, but whose end is not handled yet, may count as
+// one that has run.
 func (s *Sender) takeIdle(e *endpoint) *link {
-	for len(e.idle) > 0 {
-		l := e.idle[len(e.idle)-1]
+	for {
+		l := s.settledLink(e)
+		if l == nil {
+			return nil
+		}
 		s.removeIdle(l)
 		if noInputPending(l.conn) {
 			return l
 		}
 		s.closeLink(l, peerClosed)
 	}
-	return nil
 }
 
 // isResourceShortage reports whether a dial failed because this process or machine is out of a resource.
--- a/internal/sender/outcomes.go
+++ b/internal/sender/outcomes.go
@@ -39,6 +39,10 @@
 		return
 	}
 	c.done = true
+	l.answeredAt = s.sinceStart()
+	if a.result == choice.Done {
+		c.endpoint.callTimes.add(c.reused, s.sinceStart()-c.sendingSince)
+	}
 	switch {
 	case a.close || a.lacksStates(c):
 		l.call = nil
--- a/internal/sender/send.go
+++ b/internal/sender/send.go
@@ -71,6 +71,9 @@
 // at the latest with the call's timeout.
 func (s *Sender) startWrite(c *call, l *link) {
 	c.link, c.reused, l.call, l.writing = l, l.used, c, true
+	if c.reused {
+		c.sendingSince = s.sinceStart()
+	}
 	until := c.beganAt + c.timeout - 1
 	for _, m := range c.messages {
 		until = min(until, s.choice.RepeatableUntil(m.ID))
--- a/lab/hunt/draw.go
+++ b/lab/hunt/draw.go
@@ -13,13 +13,17 @@
 // The kinds of fault that are drawn, each slice sorted by name: those that affect endpoints, and all others.
 var endpointFaults, otherFaults = faultKinds()
 
+// withoutEffect names the kinds of fault that have no effect in simulated time.
+var withoutEffect = []string{"hoard", "notes_lost", "rubbish", "second_answers"}
+
 // faultKinds returns the kinds of fault that have an effect in simulated time.
 func faultKinds() (endpoints, others []string) {
 	for name, kind := range world.FaultKinds {
 		switch {
+		case slices.Contains(withoutEffect, name):
 		case kind.Affects == "endpoints":
 			endpoints = append(endpoints, name)
-		case name != "hoard" && name != "rubbish" && name != "notes_lost": // these have no effect in simulated time
+		default:
 			others = append(others, name)
 		}
 	}
--- a/lab/live/answer.go
+++ b/lab/live/answer.go
@@ -29,6 +29,11 @@
 	}
 }
 
+// AnsweredAgain writes a second copy of an endpoint's answer to its connection.
+func (e *engine) AnsweredAgain(c *world.Conn, call *world.Call, a world.Answer) {
+	e.Answered(c, call, a)
+}
+
 // answerBytes returns an answer in HTTP, or the incomplete or malformed bytes that a fault makes of it.
 func answerBytes(call *world.Call, a world.Answer) []byte {
 	switch {
--- a/lab/live/live_test.go
+++ b/lab/live/live_test.go
@@ -44,6 +44,18 @@
 	return &s
 }
 
+// secondAnswersSpec returns a world of six seconds in which a second copy follows most answers, also while the next call on
+// the connection is under way: the network is slow, and the senders have few endpoints for many messages.
+func secondAnswersSpec() *world.Spec {
+	s := shortSpec()
+	s.Name, s.Seconds, s.Changes = "second answers", 6, nil
+	s.Load.Rate = 150
+	s.Network.SameMS = world.Pair{4, 8}
+	s.Faults = []world.Fault{{Kind: "second_answers", At: 0.5, Seconds: 5, Amount: 0.7}, {Kind: "refusing", At: 0.5, Seconds: 5, Amount: 0.3}}
+	s.Defaults()
+	return s
+}
+
 // leftoverFolders returns the number of runs' temporary folders that were not removed.
 func leftoverFolders(t *testing.T) int {
 	t.Helper()
@@ -83,6 +95,18 @@
 			t.Errorf("outages %d and failed calls %d, want some; figures %+v, want counters of 2 senders and CPU time", r.Outages, r.FailedCalls, r.Figures)
 		}
 	})
+	t.Run("rules are kept if endpoints answer twice", func(t *testing.T) {
+		r, err := Run(context.Background(), Options{Spec: secondAnswersSpec(), Seed: 1, Command: []string{binary, "serve"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Void != "" {
+			t.Skip(r.Void)
+		}
+		if r.Fault != "" || r.Broken() || r.Asked < 500 || float64(r.Delivered) < 0.9*float64(r.Asked) {
+			t.Errorf("failure %q, want none; %d of %d messages delivered, want 90%% of at least 500; violations %v, want none", r.Fault, r.Delivered, r.Asked, r.Violations)
+		}
+	})
 	t.Run("a sender that does not start", func(t *testing.T) {
 		began := time.Now()
 		_, err := Run(context.Background(), Options{Spec: shortSpec(), Seed: 1, Command: []string{binary, "serv"}})
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -176,6 +176,10 @@
 func (e *engine) Answered(c *world.Conn, _ *world.Call, a world.Answer) {
 	e.nodes[c.Sender].answered(c, a)
 }
+
+// AnsweredAgain does nothing: this engine has no bytes on a connection that could be taken for another answer.
+func (e *engine) AnsweredAgain(*world.Conn, *world.Call, world.Answer) {}
+
 func (e *engine) ListUpdate(to world.SenderNo, l world.List) { e.nodes[to].updateEndpoints(l) }
 func (e *engine) ListFailed(world.SenderNo)                  {} // the old list stays in force
 func (e *engine) HandIn(h *world.HandIn)                     { e.nodes[h.Sender].admit(h) }
--- a/lab/world/effects.go
+++ b/lab/world/effects.go
@@ -18,6 +18,7 @@
 	resets    float64
 	malformed float64
 	lying     float64
+	twice     float64 // answers of which a second copy follows
 
 	slowFactor  float64 // factor on the duration of a call; 0 if no fault changes it
 	handshakeMS float64 // additional milliseconds for a handshake
@@ -104,6 +105,8 @@
 	"resets":   func(f *effects, t *Fault) { f.resets = combineShares(f.resets, t.Amount) },
 	"spoilt":   func(f *effects, t *Fault) { f.malformed = combineShares(f.malformed, t.Amount) },
 
+	"second_answers": func(f *effects, t *Fault) { f.twice = combineShares(f.twice, t.Amount) },
+
 	"refusing_bursts": func(f *effects, t *Fault) { f.refusedBurst = cycleOf(t) },
 	"limit_swings":    func(f *effects, t *Fault) { f.limitSwing = cycleOf(t) },
 	"refusing_first": func(f *effects, t *Fault) {
--- a/lab/world/endpoint.go
+++ b/lab/world/endpoint.go
@@ -84,6 +84,7 @@
 	Probe       bool
 	SentAt      Time
 	firstOnConn bool
+	arrived     bool // the call has reached the endpoint
 	inFlight    bool // the sender may still get an answer
 	running     bool // the endpoint is working on the call
 	ended       bool // the endpoint's part in the call is over, with or without an answer
--- a/lab/world/kinds.go
+++ b/lab/world/kinds.go
@@ -61,6 +61,7 @@
 	"cut_off":          {"endpoints", "", 0, 0, 0},
 	"resets":           {"endpoints", "share of calls on reused connections that are reset", 0.3, 0, 1},
 	"spoilt":           {"endpoints", "share of answers that are malformed", 0.3, 0, 1},
+	"second_answers":   {"endpoints", "share of answers of which a second copy follows", 0.3, 0, 1},
 	"never_reads":      {"endpoints", "", 0, 0, 0},
 	"sender_kill":      {"senders", "", 0, 0, 0},
 	"sender_roll":      {"senders", "", 0, 0, 0},
--- a/lab/world/reply.go
+++ b/lab/world/reply.go
@@ -44,6 +44,29 @@
 		delete(e.conns, c)
 	}
 	w.sendAnswer(call, a)
+	if !a.Close && !a.Incomplete && w.draw("second answer", int64(call.No)) < e.effects.twice {
+		w.sendAnswerAgain(call, a)
+	}
+}
+
+// maxSecondAnswerDelay is the longest time between an answer and its second copy.
+const maxSecondAnswerDelay = 10 * Millisecond
+
+// sendAnswerAgain sends a second copy of an answer a short time after it, unless another call has reached the endpoint on
+// the connection by then. The copy and the sender's next call may cross on their way.
+func (w *World) sendAnswerAgain(call *Call, a Answer) {
+	c := call.Conn
+	way := w.oneWayDelay(c.Sender, c.Endpoint, -int64(call.No)) // as for the answer, so that the copy does not overtake it
+	w.After(1+Time(w.draw("second answer delay", int64(call.No))*float64(maxSecondAnswerDelay)), func() {
+		if c.closedAtEndpoint || c.call != nil && c.call.arrived {
+			return
+		}
+		w.After(way, func() {
+			if !c.closedBySender && !w.senders[c.Sender].isolated {
+				w.wire.AnsweredAgain(c, call, a)
+			}
+		})
+	})
 }
 
 // sendAnswer delivers an answer to its sender after the delay of the network. If the sender has closed the connection by
--- a/lab/world/work.go
+++ b/lab/world/work.go
@@ -16,6 +16,7 @@
 func (w *World) arrive(call *Call) {
 	c := call.Conn
 	e := c.Endpoint
+	call.arrived = true
 	if c.closedAtEndpoint {
 		w.arriveTooLate(call)
 		return
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -60,10 +60,11 @@
 	ConnUp(c *Conn)                // the connection is established
 	ConnDown(c *Conn, why ConnEnd) // the connection was refused, or closed by the endpoint
 	Answered(c *Conn, call *Call, a Answer)
-	ListUpdate(to SenderNo, list List)     // an update of the endpoint list arrives
-	ListFailed(to SenderNo)                // the watch ended, or was silent for too long
-	HandIn(h *HandIn)                      // a client hands a message in
-	AcceptingChanged(e *Endpoint, on bool) // the endpoint begins or ceases to accept connections
+	AnsweredAgain(c *Conn, call *Call, a Answer) // a second copy of an answer arrives
+	ListUpdate(to SenderNo, list List)           // an update of the endpoint list arrives
+	ListFailed(to SenderNo)                      // the watch ended, or was silent for too long
+	HandIn(h *HandIn)                            // a client hands a message in
+	AcceptingChanged(e *Endpoint, on bool)       // the endpoint begins or ceases to accept connections
 	Datagram(from, to SenderNo, text []byte)
 	Act(on SenderNo, what Action) // a fault acts on the sender's process or on its clients
 }
