--- a/internal/sender/platform_conn.go
+++ b/internal/sender/platform_conn.go
@@ -22,9 +22,10 @@
 
 // platformConn is the connection to the platform. It is owned by the goroutine of the one post in flight.
 type platformConn struct {
-	conn netpoll.Connection                       // nil for none
-	addr string                                   // address of conn
-	log  func(addr string, why reason, err error) // logs the end of a connection
+	conn       netpoll.Connection                       // nil for none
+	addr       string                                   // address of conn
+	answeredAt time.Time                                // when the last answer on conn was complete
+	log        func(addr string, why reason, err error) // logs the end of a connection
 }
 
 // post sends one request and returns the status of its answer. If it fails on a reused connection, which may have ended
@@ -34,6 +35,7 @@
 		p.disconnect(notNeeded, nil)
 		p.addr = addr
 	}
+	p.settle()
 	reused := p.conn != nil && p.conn.IsActive()
 	status, err = p.postOnce(addr, body)
 	if err != nil && reused {
@@ -42,6 +44,22 @@
 	return status, err
 }
 
+// settle waits until answerSettleTime has passed since the last answer, and closes the connection if more has come on it.
+// A second copy of that answer would be taken for the answer to the next post, whose endings may not have been accepted.
+func (p *platformConn) settle() {
+	if p.conn == nil {
+		return
+	}
+	time.Sleep(time.Until(p.answeredAt.Add(answerSettleTime)))
+	switch {
+	case noInputPending(p.conn):
+	case p.conn.Reader().Len() > 0:
+		p.disconnect(badAnswer, errUnsolicited)
+	default:
+		p.disconnect(peerClosed, nil)
+	}
+}
+
 // postOnce sends one request, and closes the connection if that fails.
 func (p *platformConn) postOnce(addr string, body []byte) (status int, err error) {
 	if err := p.connect(addr); err != nil {
@@ -83,6 +101,7 @@
 			return 0, err
 		}
 	}
+	p.answeredAt = time.Now()
 	if answer.Close || answer.BytesAfter() > 0 {
 		p.disconnect(endpointCloses, nil)
 	}
