Discovery: a closed watch is asked for again within half of the drain grace

The same cause as of the silent agent, on a watch that the agent closes: the next call came after up to 0.6 s, while a change counts as told at once "whether or not a watch is open", and calls to an endpoint that is gone may leave for 500 ms (50 ms more on sockets).

Change: rules.drainGrace is read from the settings, and the wait is at most half of it. Waits after failed calls keep their minimum of 1.2 s, which has a name of its own now. directory.Watch takes its parameters as Options.

TestListAfterClosedWatch, before: grace 250ms: list received up to 598.34188ms after the watch was closed, want at most 150ms grace 500ms: list received up to 598.34188ms after the watch was closed, want at most 400ms After it it passes. go test -race of internal/directory, config, sender, cluster/configuration, drill and cmd: green.

--- a/internal/config/checks.go
+++ b/internal/config/checks.go
@@ -31,6 +31,7 @@
 		{"bounds.connIdle", float64(b.Bounds.ConnIdle)},
 		{"bounds.dialTimeout", float64(b.Bounds.DialTimeout)},
 		{"deductions.handshake", b.Deductions.Handshake},
+		{"rules.drainGrace", float64(b.Rules.DrainGrace)},
 		{"rules.keyRest", float64(b.Rules.KeyRest)},
 		{"rules.cold", float64(b.Rules.SlowStart)},
 		{"rules.fall", float64(b.Rules.Fall)},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,6 +16,7 @@
 	"reflect"
 	"strconv"
 	"strings"
+	"time"
 
 	"flaxcove/choice"
 	"flaxcove/internal/directory"
@@ -36,6 +37,7 @@
 	ZoneNumbers      map[string]choice.ZoneNo    // by name
 	KindNumbers      map[string]choice.KindNo    // by name of the machine type
 	LoadReportFields []string                    // names of the fields of load reports
+	DrainGrace       time.Duration               // within which calls to an endpoint end after it is drained or removed; 0 if not set
 	Settings         choice.Settings             // converted from the settings object in force
 
 	PeerListen string   // UDP address that receives gossip from other senders; empty if there is none
@@ -112,6 +114,7 @@
 		{"settings.zones", c.ZoneNumbers, fresh.ZoneNumbers},
 		{"settings.machineTypes", c.KindNumbers, fresh.KindNumbers},
 		{"settings.stats.fields", c.LoadReportFields, fresh.LoadReportFields},
+		{"settings.rules.drainGrace", c.DrainGrace, fresh.DrainGrace},
 		{"peer_listen", c.PeerListen, fresh.PeerListen},
 		{"peers", c.Peers, fresh.Peers},
 		{"peers_all", c.PeersAll, fresh.PeersAll},
--- a/internal/config/running.go
+++ b/internal/config/running.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"flaxcove/choice"
 	"flaxcove/internal/fielderror"
@@ -63,6 +64,7 @@
 		c.KindNumbers[kind] = choice.KindNo(i)
 	}
 	c.LoadReportFields, c.settingsInForce = b.Stats.Fields, raw
+	c.DrainGrace = time.Duration(b.Rules.DrainGrace)
 	return nil
 }
 
--- a/internal/config/running_test.go
+++ b/internal/config/running_test.go
@@ -65,6 +65,8 @@
 	{"TickInterval", "quantum", 1e7, ""},
 	{"Rules", "rules", jsonObject{"cold": 9e9, "coldFrom": 0.1, "fall": 5e9, "fallMultiple": 1.5, "keyRest": 1e9}, ""},
 	{"Rules", "rules.cold", -1, "rules.cold"},
+	{"Rules", "rules.drainGrace", 2e8, ""},
+	{"Rules", "rules.drainGrace", -1, "rules.drainGrace"},
 	{"SlotNo", "slotNo", 9, ""},
 	{"Stats", "stats", jsonObject{"fields": []any{"left"}}, ""},
 	{"Weights", "weights", "rough", ""},
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -57,6 +57,7 @@
 	OverQuotaPriorityWeight float64 `json:"OverShareWorth"`
 	TickInterval            int64   `json:"Quantum"`
 	Rules                   struct {
+		DrainGrace    int64
 		SlowStart     int64   `json:"Cold"`
 		SlowStartFrom float64 `json:"ColdFrom"`
 		Fall          int64
--- a/internal/directory/silent_agent_test.go
+++ b/internal/directory/silent_agent_test.go
@@ -18,6 +18,7 @@
 type silentAgent struct {
 	silentAt, returnsAt time.Time
 	headAtOnce          bool // calls get the head of their answer also while the agent is silent
+	closesAtReturn      bool // the agent closes calls from before its return in place of an answer
 	open, mostOpen      atomic.Int32
 }
 
@@ -55,14 +56,17 @@
 		return
 	case <-time.After(time.Until(a.returnsAt)):
 	}
+	if a.closesAtReturn && head == "" {
+		return
+	}
 	io.WriteString(conn, head+chunk(list(9)))
 	<-closed
 }
 
 // returnTime runs a watch at the agent and returns the time from the agent's return until the list of version 9 is received.
-func (a *silentAgent) returnTime(senders int, jitter func(time.Duration) time.Duration) time.Duration {
+func (a *silentAgent) returnTime(t timing, jitter func(time.Duration) time.Duration) time.Duration {
 	received, stop, done := make(chan time.Time, 1), make(chan struct{}), make(chan struct{})
-	w := &watcher{addr: "agent:1", timing: defaultTiming(senders), dial: a.dial, jitter: jitter,
+	w := &watcher{addr: "agent:1", timing: t, dial: a.dial, jitter: jitter,
 		callbacks: onListOnly(func(l List) {
 			if l.Version == 9 {
 				received <- time.Now()
@@ -92,7 +96,7 @@
 					draw := rand.New(rand.NewPCG(uint64(outage), uint64(senders)))
 					now := time.Now()
 					a := &silentAgent{silentAt: now.Add(time.Millisecond), returnsAt: now.Add(outage), headAtOnce: headAtOnce}
-					took := a.returnTime(senders, func(most time.Duration) time.Duration { return time.Duration(draw.Int64N(int64(most))) })
+					took := a.returnTime(defaultTiming(senders), func(most time.Duration) time.Duration { return time.Duration(draw.Int64N(int64(most))) })
 					if played++; took > bound {
 						late++
 					}
@@ -110,3 +114,25 @@
 		}
 	}
 }
+
+// TestListAfterClosedWatch guards against messages that go to an endpoint that is gone because the watch was closed just
+// before the change: what an agent has counts as notified although no watch is open.
+func TestListAfterClosedWatch(t *testing.T) {
+	// A call may leave within the grace and 50 ms, and a sender may be held up for 150 ms.
+	const heldUp, slack = 150 * time.Millisecond, 50 * time.Millisecond
+	for _, grace := range []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second} {
+		longest := time.Duration(0)
+		synctest.Test(t, func(t *testing.T) {
+			for seed := range uint64(100) {
+				draw, now := rand.New(rand.NewPCG(seed, 1)), time.Now()
+				closedAt := now.Add(time.Second)
+				a := &silentAgent{silentAt: closedAt, returnsAt: closedAt, closesAtReturn: true}
+				took := a.returnTime(defaultTiming(20).withDrainGrace(grace), func(most time.Duration) time.Duration { return time.Duration(draw.Int64N(int64(most))) })
+				longest = max(longest, took)
+			}
+		})
+		if bound := grace + slack - heldUp; longest > bound {
+			t.Errorf("grace %v: list received up to %v after the watch was closed, want at most %v", grace, longest, bound)
+		}
+	}
+}
--- a/internal/directory/timing.go
+++ b/internal/directory/timing.go
@@ -45,8 +45,11 @@
 	// than maxInterval, so that the next call starts before the stalled one is given up.
 	StalledTimeout time.Duration
 	// ReconnectSpread is the maximum wait before the call after a closed watch. It spreads the calls of all senders when
-	// a restarting discovery closes all watches at once.
+	// a restarting discovery closes all watches at once. withDrainGrace limits it, because a pushed list counts as
+	// notified also while no watch is open.
 	ReconnectSpread time.Duration
+	// MinBackoff is the shortest maximum wait after a failed call.
+	MinBackoff time.Duration
 	// CallSpacing is the average time between two calls of all senders after a failed call. The time doubles after the
 	// second failure in a row and again after the third, as long as the wait stays below MaxBackoff. Without
 	// CallSpacing, a discovery that many senders call again and again would answer none of them and never recover. After
@@ -76,12 +79,22 @@
 		MessageTimeout:   1050 * time.Millisecond,
 		StalledTimeout:   6 * time.Second,
 		ReconnectSpread:  600 * time.Millisecond,
+		MinBackoff:       1200 * time.Millisecond,
 		CallSpacing:      100 * time.Millisecond,
 		MaxBackoff:       30 * time.Second,
 		Senders:          senders,
 	}
 }
 
+// withDrainGrace returns the timing for a sender whose calls to an endpoint must end within grace after it is drained or
+// removed. Half of the grace is left for the call for the list and for delays of the machine. A grace of 0 is unknown.
+func (t timing) withDrainGrace(grace time.Duration) timing {
+	if grace > 0 {
+		t.ReconnectSpread = min(t.ReconnectSpread, grace/2)
+	}
+	return t
+}
+
 // maxInterval returns the maximum time from the start of one call to the start of the next.
 func (t *timing) maxInterval() time.Duration { return t.NotifyWithin - t.HeadTimeout - t.Slack }
 
@@ -98,7 +111,7 @@
 		return t.ReconnectSpread
 	}
 	backoff := t.fleetSpread() << min(failures-1, maxDoublings)
-	return min(t.MaxBackoff, max(2*t.ReconnectSpread, backoff))
+	return min(t.MaxBackoff, max(t.MinBackoff, backoff))
 }
 
 // ending says how a call for the list ended.
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -77,14 +77,21 @@
 	ended                       // the call has ended
 )
 
-// Watch receives the list from discovery at addr, to which the given number of senders connect, until stop is closed. It
-// asks for changes after the version since.
-func Watch(addr string, senders int, since int64, stop <-chan struct{}, callbacks Callbacks) {
+// Options says what a watch asks for, and of whom.
+type Options struct {
+	Addr       string        // host:port of discovery
+	Senders    int           // number of senders that call the same discovery
+	Since      int64         // version after which changes are asked for
+	DrainGrace time.Duration // within which calls to an endpoint end after it is drained or removed; 0 if unknown
+}
+
+// Watch receives the list from discovery until stop is closed.
+func Watch(options Options, stop <-chan struct{}, callbacks Callbacks) {
 	var d net.Dialer
 	w := &watcher{
-		addr:      addr,
-		version:   since,
-		timing:    defaultTiming(senders),
+		addr:      options.Addr,
+		version:   options.Since,
+		timing:    defaultTiming(options.Senders).withDrainGrace(options.DrainGrace),
 		dial:      func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
 		jitter:    func(most time.Duration) time.Duration { return rand.N(most) },
 		callbacks: callbacks,
--- a/internal/directory/watch_test.go
+++ b/internal/directory/watch_test.go
@@ -46,7 +46,7 @@
 		var syntax *json.SyntaxError
 		fmt.Println("ended:", err, errors.As(err, &syntax))
 	}
-	Watch(server.Listener.Addr().String(), 2, 4, stop, callbacks)
+	Watch(Options{Addr: server.Listener.Addr().String(), Senders: 2, Since: 4}, stop, callbacks)
 	// Output:
 	// GET /api/targets?follow=1&since=4
 	// version 5
@@ -88,7 +88,7 @@
 			fmt.Println("ended:", err)
 		}
 	}
-	Watch(server.Listener.Addr().String(), 2, 7, stop, callbacks)
+	Watch(Options{Addr: server.Listener.Addr().String(), Senders: 2, Since: 7}, stop, callbacks)
 	// Output:
 	// since 7
 	// ended: the server closed the connection in the middle of a message
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -58,7 +58,8 @@
 			s.logConnEnded("discovery", addr, watchEnded, err)
 		})
 	}
-	go directory.Watch(addr, s.cfg.Settings.Senders, since, stop, directory.Callbacks{OnList: onList, OnEstablished: onEstablished, OnFailure: onEnd})
+	options := directory.Options{Addr: addr, Senders: s.cfg.Settings.Senders, Since: since, DrainGrace: s.cfg.DrainGrace}
+	go directory.Watch(options, stop, directory.Callbacks{OnList: onList, OnEstablished: onEstablished, OnFailure: onEnd})
 }
 
 // endWatches ends the oldest watches, as many as count says.
--- a/lab/yardstick/yardstick.go
+++ b/lab/yardstick/yardstick.go
@@ -56,7 +56,8 @@
 	f := &Forwarder{cfg: cfg, destinations: map[int64]*destination{}, workers: max(1, cfg.Settings.InFlightLimit/4)}
 	f.updateEndpoints(cfg.InitialList)
 	stop := make(chan struct{})
-	go directory.Watch(cfg.Discovery, cfg.Settings.Senders, cfg.InitialList.Version, stop, directory.Callbacks{
+	options := directory.Options{Addr: cfg.Discovery, Senders: cfg.Settings.Senders, Since: cfg.InitialList.Version, DrainGrace: cfg.DrainGrace}
+	go directory.Watch(options, stop, directory.Callbacks{
 		OnList:        f.updateEndpoints,
 		OnEstablished: func(directory.Established) {},
 		OnFailure:     func(error) {},
