--- a/internal/sender/endpoint_input.go
+++ b/internal/sender/endpoint_input.go
@@ -37,8 +37,7 @@
 func (l *link) read(conn netpoll.Connection) (event func(), err error) {
 	l.inputLock.Lock()
 	defer l.inputLock.Unlock()
-	// Set under the lock, so that no call is sent on the link after bad input and before its close.
-	defer func() { l.badInput.Store(l.badInput.Load() || err != nil) }()
+	defer func() { l.rejectInput(err) }()
 	if err := l.feedAnswer(conn.Reader()); err != nil {
 		return nil, err
 	}
@@ -57,6 +56,15 @@
 	return nil, nil
 }
 
+// rejectInput marks the link as one whose input cannot be an answer, unless err is nil. It is called under inputLock, so
+// that no call is sent on the link after bad input and before its close.
+func (l *link) rejectInput(err error) {
+	if err != nil {
+		l.inputError.CompareAndSwap(nil, &err)
+		l.badInput.Store(true)
+	}
+}
+
 // feedAnswer passes all available input to the parser of the answer. It returns errUnsolicited if no call awaits one.
 func (l *link) feedAnswer(r netpoll.Reader) error {
 	piece, err := r.Next(r.Len())
--- a/internal/sender/links.go
+++ b/internal/sender/links.go
@@ -6,6 +6,7 @@
 import (
 	"container/list"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -45,8 +46,9 @@
 	answer   http1.Answer // parser of the answer; owned by netpoll's callback, of which only one runs at a time
 
 	// These two are shared by netpoll's callback, the writer and the loop.
-	awaitingAnswer atomic.Bool // a call was written and its answer is not complete
-	badInput       atomic.Bool // the input cannot be an answer
+	awaitingAnswer atomic.Bool           // a call was written and its answer is not complete
+	badInput       atomic.Bool           // the input cannot be an answer
+	inputError     atomic.Pointer[error] // why; set once, before badInput
 	// inputLock is held from reading bytes until it is decided whether they are unsolicited, so that unsolicited bytes are
 	// never taken for the beginning of the answer to a call that is written at the same moment.
 	inputLock   sync.Mutex
@@ -242,6 +244,19 @@
 	l.conn.Close()
 }
 
+// inputErrorOf returns the error for which the input of a link was rejected, with the time since its last answer; nil if
+// there is none. The time tells a second copy of that answer from input that comes later.
+func (s *Sender) inputErrorOf(l *link) error {
+	err := l.inputError.Load()
+	if err == nil {
+		return nil
+	}
+	if l.answeredAt == 0 {
+		return *err
+	}
+	return fmt.Errorf("%w; %d ms after its last answer", *err, (s.sinceStart() - l.answeredAt).Milliseconds())
+}
+
 // onLinkEnded handles the end of a link. It is called once for each link, whichever side has closed it.
 func (s *Sender) onLinkEnded(l *link, end *partialAnswer) {
 	if !l.closing {
@@ -254,7 +269,7 @@
 	s.openLinks--
 	l.endpoint.linkCount--
 	s.counts.linksEnded++
-	s.logConnEnded("endpoint", string(l.endpoint.id), l.closeReason, nil)
+	s.logConnEnded("endpoint", string(l.endpoint.id), l.closeReason, s.inputErrorOf(l))
 	s.dropIfUnused(l.endpoint)
 	l.partialAnswer = end
 	if !l.writing { // else onWritten calls onLinkCutOff, as the outcome depends on whether the last byte was sent
--- a/internal/sender/settling_test.go
+++ b/internal/sender/settling_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"flaxcove/choice"
 )
 
@@ -98,6 +101,21 @@
 	}
 }
 
+// TestLogOfSecondAnswer checks that the log of a link that ends says how long after its last answer more came.
+func TestLogOfSecondAnswer(t *testing.T) {
+	h := start(t.TempDir(), 100)
+	core, logged := observer.New(zap.InfoLevel)
+	h.s.log = zap.New(core)
+	l, write, _, _ := answeredLink(t, h, okAnswer)
+	h.clock += 12 * time.Millisecond
+	write(okAnswer)
+	h.runUntil(t, "the link ends", func() bool { return l.partialAnswer != nil })
+	last := logged.FilterField(zap.String("reason", string(badAnswer))).All()
+	if len(last) != 1 || last[0].ContextMap()["error"] != errUnsolicited.Error()+"; 12 ms after its last answer" {
+		t.Errorf("logged %+v", logged.All())
+	}
+}
+
 // TestFastEndpointGetsNewLinks checks that calls to an endpoint that answers at once do not wait for links to settle, as
 // that would take up most of the in-flight limit.
 func TestFastEndpointGetsNewLinks(t *testing.T) {
