Sender: a call that waited for a connection and was sent does not end as not sent

What callers would see: at a sender whose limit of sockets is reached, an order that may have run is sent again. Found by reading; no run has shown it.

Cause: the mark of a call that waits for capacity (awaitingCapacity) was taken back before a dial, but not when the call got a link that had become idle. Its timeout then ended it as never sent (expireCall in call.go), whatever the endpoint had read, and the message went out once more.

Change: the timeout asks first whether the write has begun.

--- a/internal/sender/call.go
+++ b/internal/sender/call.go
@@ -165,14 +165,8 @@
 		return
 	}
 	s.counts.callsTimedOut++
-	if c.awaitingCapacity || c.awaitingSettling {
-		s.endUnsent(c)
-		return
-	}
 	if c.link == nil {
-		// A call that had less time than every latency objective was begun too late; that is no sign of a slow endpoint.
-		c.localFailure = s.Now()-c.beganAt < s.shortestObjective
-		s.connectFailed(c)
+		s.expireUnsent(c)
 		return
 	}
 	l := c.link
@@ -186,6 +180,17 @@
 	s.after(abandonSettleTime, func() { s.settleAbandoned(c, l) })
 }
 
+// expireUnsent ends, at its timeout, a call whose write has not begun.
+func (s *Sender) expireUnsent(c *call) {
+	if c.awaitingCapacity || c.awaitingSettling {
+		s.endUnsent(c)
+		return
+	}
+	// A call that had less time than every latency objective was begun too late; that is no sign of a slow endpoint.
+	c.localFailure = s.Now()-c.beganAt < s.shortestObjective
+	s.connectFailed(c)
+}
+
 // settleAbandoned reports the outcome of an abandoned call. A call whose last byte was not sent has not run.
 func (s *Sender) settleAbandoned(c *call, l *link) {
 	switch {
--- a/internal/sender/settling.go
+++ b/internal/sender/settling.go
@@ -74,7 +74,7 @@
 // then: a process that is killed meanwhile has sent nothing.
 func (s *Sender) awaitSettling(c *call, l *link) {
 	s.removeIdle(l)
-	c.awaitingSettling = true
+	c.awaitingSettling, c.awaitingCapacity = true, false
 	s.after(max(0, s.settlesIn(l)), func() { s.onSettled(c, l) })
 }
 
