--- a/internal/sender/platform_conn.go
+++ b/internal/sender/platform_conn.go
@@ -3,6 +3,7 @@
 // This file implements the connection to the platform, on which endings are posted.
 
 import (
+	"errors"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -20,6 +21,8 @@
 
 const postFailed reason = "post_failed"
 
+var errNotReusable = errors.New("connection to the platform has ended or has unsolicited input; not used again")
+
 // platformConn is the connection to the platform. It is owned by the goroutine of the one post in flight.
 type platformConn struct {
 	conn       netpoll.Connection                       // nil for none
@@ -51,12 +54,8 @@
 		return
 	}
 	time.Sleep(time.Until(p.answeredAt.Add(answerSettleTime)))
-	switch {
-	case noInputPending(p.conn):
-	case p.conn.Reader().Len() > 0:
-		p.disconnect(badAnswer, errUnsolicited)
-	default:
-		p.disconnect(peerClosed, nil)
+	if p.conn.IsActive() && !noInputPending(p.conn) {
+		p.disconnect(badAnswer, errNotReusable)
 	}
 }
 
