--- a/internal/directory/silent_agent_test.go
+++ b/internal/directory/silent_agent_test.go
@@ -86,6 +86,7 @@
 // what an agent has counts as notified at its return, so a call has to be open then, however long the agent was silent. At
 // most three calls are open at a time.
 func TestListAtReturnOfSilentAgent(t *testing.T) {
+	singleThreaded(t)
 	// A call to an endpoint that is gone may leave 500 ms after the notification, and a sender may be held up for 150 ms.
 	const bound = 350 * time.Millisecond
 	for _, senders := range []int{1, 20, 300} {
@@ -118,6 +119,7 @@
 // TestListAfterClosedWatch guards against messages that go to an endpoint that is gone because the watch was closed just
 // before the change: what an agent has counts as notified although no watch is open.
 func TestListAfterClosedWatch(t *testing.T) {
+	singleThreaded(t)
 	// A call may leave within the grace and 50 ms, and a sender may be held up for 150 ms.
 	const heldUp, slack = 150 * time.Millisecond, 50 * time.Millisecond
 	for _, grace := range []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second} {
