Directory tests: all that use a synctest clock run on one thread

This is the crash of Go 1.26's race detector that singleThreaded guards against; TestOutage and six other tests did not call it and relied on small batches. Now all tests of the package with such a clock do. No check, bound or time in them changed; the clock is simulated, so that they see the same.

--- a/internal/directory/outage_test.go
+++ b/internal/directory/outage_test.go
@@ -160,7 +160,7 @@
 }
 
 // singleThreaded makes the goroutines of a test run one at a time. With Go 1.26 the race detector crashes in its own
-// code if several threads fire many timers of one synctest clock.
+// code if several threads fire timers of one synctest clock. All tests of this package that use such a clock call it.
 func singleThreaded(t *testing.T) {
 	before := runtime.GOMAXPROCS(1)
 	t.Cleanup(func() { runtime.GOMAXPROCS(before) })
@@ -170,6 +170,7 @@
 // the calls before met, up to four in a row. The exception is an error status to a large fleet, whose calls are spread
 // further. With -short the test plays up to two faults in a row.
 func TestOutage(t *testing.T) {
+	singleThreaded(t)
 	for senders, faults := range map[int]int{1: 3, 24: 3, 80: 3, 300: 4} {
 		if testing.Short() {
 			faults = 2
@@ -191,6 +192,7 @@
 // TestNoDescriptors checks that a dial that fails for lack of file descriptors, buffers or ports counts as a failed
 // call, which is repeated in time.
 func TestNoDescriptors(t *testing.T) {
+	singleThreaded(t)
 	synctest.Test(t, func(t *testing.T) {
 		for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL} {
 			o := &outage{faults: []fault{{dialError: dialFailure(errno)}}, extraCalls: 20, returnDelay: time.Millisecond}
@@ -206,6 +208,7 @@
 // TestSlowThenHalf checks that a call with a slow first list is a normal watch from then on: an incomplete message ends
 // it, and a missed change is received within six seconds of the last sign of life.
 func TestSlowThenHalf(t *testing.T) {
+	singleThreaded(t)
 	synctest.Test(t, func(t *testing.T) {
 		slow := script{pieces: []piece{{0, answerHead}, {3 * time.Second, chunk(list(1))}, {2 * time.Second, chunk(list(2)[:30])}}}
 		d := &fakeDiscovery{scripts: []script{overloaded, slow, healthy(9)}}
--- a/internal/directory/silence_test.go
+++ b/internal/directory/silence_test.go
@@ -143,6 +143,7 @@
 // TestSilence checks that a change that a watch misses by falling silent, in whatever way, is received within six
 // seconds of the last sign of life, and with how many calls.
 func TestSilence(t *testing.T) {
+	singleThreaded(t)
 	trickle := func(after time.Duration) (all []piece) {
 		for _, letter := range strings.Split(list(2), "") {
 			all = append(all, piece{after, chunk(letter)})
@@ -192,6 +193,7 @@
 // TestLife checks that a watch with signs of life stays open, whether messages are indented, split, or two in one chunk.
 // It also stays open if the process was paused: then the watch reads what arrived meanwhile.
 func TestLife(t *testing.T) {
+	singleThreaded(t)
 	synctest.Test(t, func(t *testing.T) {
 		s := script{pieces: []piece{{0, answerHead + chunk("\n")}}}
 		for _, line := range strings.SplitAfter(strings.TrimSpace(list(1)), "\n") {
@@ -214,6 +216,7 @@
 // TestSpread checks that calls that are rejected with an error status keep the wait of a large fleet, and that a stalled
 // call is read until its slow list is complete.
 func TestSpread(t *testing.T) {
+	singleThreaded(t)
 	synctest.Test(t, func(t *testing.T) {
 		d := &fakeDiscovery{scripts: []script{{pieces: []piece{{0, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"}}, closes: true}}}
 		runWatch(300, 65*time.Second, d)
@@ -232,6 +235,7 @@
 // TestPrice checks the number of calls of 300 senders. If all watches fall silent once, each sender makes one more call.
 // If discovery stays down, each makes four more calls in 14 s: two immediately and two after waits of the backoff.
 func TestPrice(t *testing.T) {
+	singleThreaded(t)
 	count := func(scripts ...script) (calls int) {
 		for range 300 {
 			d := &fakeDiscovery{scripts: scripts}
