--- a/internal/directory/malformed_test.go
+++ b/internal/directory/malformed_test.go
@@ -12,6 +12,7 @@
 // TestCutAnywhere checks that a list is read correctly if it is split at any byte, into two chunks or into two writes of
 // one chunk.
 func TestCutAnywhere(t *testing.T) {
+	singleThreaded(t)
 	for _, text := range []string{list(1) + "\n" + list(2), `{"version":1,"full":true,"servers":[{"id":"a"}]}` + "\n\n" + `{"version":2,"servers":[{"id":"b\"}{","addr":"ü"}]}` + "\n"} {
 		whole := answerHead + chunk(text)
 		synctest.Test(t, func(t *testing.T) {
@@ -38,6 +39,7 @@
 // on, and the list is requested again. An empty list is accepted, and so are a change without servers and a lower
 // version.
 func TestListWithoutServers(t *testing.T) {
+	singleThreaded(t)
 	for text, heard := range map[string]bool{
 		`{"version":5,"full":true}`:                 false,
 		`{"version":5,"full":true,"servers":null}`:  false,
@@ -68,6 +70,7 @@
 // TestVersionGoesBack checks that the next call asks for changes after the version received last, even if that is lower
 // than the one before: discovery may restart its numbering.
 func TestVersionGoesBack(t *testing.T) {
+	singleThreaded(t)
 	synctest.Test(t, func(t *testing.T) {
 		d := &fakeDiscovery{scripts: []script{{pieces: []piece{{0, answerHead + chunk(list(41)+"\n"+list(3))}}, closes: true}, healthy(4)}}
 		all, _ := runWatch(1, 20*time.Second, d)
