review: case 7, a clump of messages goes out in a body above the limit and is given up

Cause: a bulk call is full at bulkMax messages; nothing counts the bytes of its body (host.go, Attempt), and a body may hold 64 KiB.

--- a/review/_src2/stand.go
+++ b/review/_src2/stand.go
@@ -197,6 +197,9 @@
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
 	opened int
+
+	maxBody int64               // it closes on a longer body; 0 for no limit
+	large   func(*http.Request) // called for such a body
 }
 
 // newEndpoint listens at an address ("" for any free one). handle answers each call; an empty answer is not written.
@@ -238,6 +241,11 @@
 		if err != nil {
 			return
 		}
+		if e.maxBody > 0 && req.ContentLength > e.maxBody {
+			io.CopyN(io.Discard, req.Body, e.maxBody)
+			e.large(req)
+			return
+		}
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
 			return
