--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,4 +5,4 @@
 	echo "run the build of the deploy file and review/build-2.sh first"
 	exit 2
 fi
-exec bin/review2 order review/10
+exec bin/review2 memory review/10
--- a/review/_src2/stand.go
+++ b/review/_src2/stand.go
@@ -50,6 +50,7 @@
 	servers   map[string]entry
 	changed   map[string]int // version in which an entry changed
 	down      bool           // discovery is down: the agent accepts calls for the list and stays silent
+	refuses   bool           // discovery ends its watches and refuses calls for the list
 	wake      chan struct{}  // closed and replaced with each change
 	onOutcome func(outcome)
 }
@@ -112,6 +113,22 @@
 	return a.down
 }
 
+// setRefuses begins or ends a time in which discovery refuses calls for the list.
+func (a *agent) setRefuses(refuses bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refuses = refuses
+	close(a.wake)
+	a.wake = make(chan struct{})
+}
+
+// isRefusing reports whether discovery refuses calls for the list.
+func (a *agent) isRefusing() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.refuses
+}
+
 // list returns the entries changed after a version; the whole list if since is 0.
 func (a *agent) list(since int) (list, chan struct{}) {
 	a.mu.Lock()
@@ -134,6 +151,10 @@
 			return
 		}
 	}
+	if a.isRefusing() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if r.FormValue("follow") != "1" {
 		l, _ := a.list(0)
 		json.NewEncoder(w).Encode(l)
@@ -143,6 +164,9 @@
 	flusher := w.(http.Flusher)
 	for first := true; ; first = false {
 		l, wake := a.list(since)
+		if a.isRefusing() {
+			return
+		}
 		if len(l.Servers) > 0 || first {
 			json.NewEncoder(w).Encode(l)
 			flusher.Flush()
