--- a/review/_src2/case_clump.go
+++ b/review/_src2/case_clump.go
@@ -13,11 +13,11 @@
 const (
 	mostBody  = 64 << 10 // "a body holds no more than 64 KiB"
 	clumpBody = 12000    // bytes of a message's body
-	clumpSize = 10       // messages in a clump; the most of one call of kind bulk
-	clumps    = 3
+	clumpSize = 10       // messages in the clump; the most of one call of kind bulk
+	usualSize = 30       // messages that come one after another: "16 to 28% of the notices come in clumps", here 25%
 )
 
-// clumpCase hands in messages for one partner system of kind bulk in clumps. The partner system reads bodies of at most
+// clumpCase hands in messages for one partner system of kind bulk in a clump. The partner system reads bodies of at most
 // 64 KiB, and closes on what it can't read. Then the case checks that no longer body has come.
 func clumpCase(r *run) (bool, error) {
 	var mu sync.Mutex
@@ -85,32 +85,38 @@
 		}
 		return nil
 	}
-	for i := range 5 { // usual traffic
-		if err := handIn(fmt.Sprintf("usual%d", i)); err != nil {
-			return false, err
-		}
-		time.Sleep(400 * time.Millisecond)
-	}
-	for clump := range clumps {
-		var ids []string
-		for i := range clumpSize {
-			ids = append(ids, fmt.Sprintf("order%d-%d", clump, i))
-		}
-		if r.trouble {
-			err = handIn(ids...)
-		} else {
-			for _, id := range ids { // the same one after another
-				if err = handIn(id); err != nil {
-					break
-				}
-				time.Sleep(400 * time.Millisecond)
+	oneByOne := func(ids ...string) error {
+		for _, id := range ids {
+			if err := handIn(id); err != nil {
+				return err
 			}
+			time.Sleep(400 * time.Millisecond)
 		}
-		if err != nil {
-			return false, err
-		}
-		time.Sleep(5 * time.Second)
+		return nil
+	}
+	var usual, clump []string
+	for i := range usualSize {
+		usual = append(usual, fmt.Sprintf("usual%02d", i))
+	}
+	for i := range clumpSize {
+		clump = append(clump, fmt.Sprintf("order%02d", i))
+	}
+	if err := oneByOne(usual[:usualSize/2]...); err != nil {
+		return false, err
+	}
+	if r.trouble {
+		err = handIn(clump...)
+		time.Sleep(time.Second)
+	} else {
+		err = oneByOne(clump...)
+	}
+	if err != nil {
+		return false, err
+	}
+	if err := oneByOne(usual[usualSize/2:]...); err != nil {
+		return false, err
 	}
+	time.Sleep(2 * time.Second)
 	mu.Lock()
 	defer mu.Unlock()
 	lost := 0
--- a/review/_src2/case_restart.go
+++ b/review/_src2/case_restart.go
@@ -66,12 +66,19 @@
 		return entry{ID: id, Addr: e.addr, Zone: "marabella", Kind: "small", Cell: cell, State: state, Weight: 20}
 	}
 	a.set(at("s-1", shared, 1, "up"))
-	s := r.sender("s0")
-	if err := s.configure(configuration(s, a, settings(), smallLimits())); err != nil { // with the list that the sender holds
-		return false, err
+	for cell := 3; cell <= 9; cell++ { // endpoints of other partners, which stay
+		a.set(at(fmt.Sprint("s-", cell+10), fresh, cell, "up"))
 	}
-	if err := s.start(); err != nil {
-		return false, err
+	s, other := r.sender("s0"), r.sender("s1") // one of the two is killed
+	for i, each := range []*sender{s, other} {
+		set := settings()
+		set["balancers"], set["slotNo"] = 2, i
+		if err := each.configure(configuration(each, a, set, smallLimits())); err != nil { // with the list that the sender holds
+			return false, err
+		}
+		if err := each.start(); err != nil {
+			return false, err
+		}
 	}
 	n := 0
 	add := func() error {
--- a/review/_src2/case_shed.go
+++ b/review/_src2/case_shed.go
@@ -13,6 +13,7 @@
 	betweenCalls = 250 * time.Millisecond
 	usualCalls   = 20 // before it shuts
 	allCalls     = 80
+	shareOfFive  = 2 // of five messages, so many are for the partner system that shuts: "up to 42% of the traffic"
 )
 
 // shedCase has a partner system shut for a while. It turns all calls away with 429 and tells the wait until it opens. Its
@@ -56,13 +57,25 @@
 		for _, i := range c.items {
 			turnedAway[i.ID] = true
 		}
+		if shed%2 == 0 { // "17 to 58% of its shed replies ... tell how long to wait", here half
+			r.add("endpoint: call with %s, 503, Connection: close%s", names(c), note)
+			return "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n\r\nshut\n", false
+		}
 		r.add("endpoint: call with %s, 429, Retry-After %.3f, Connection: close%s", names(c), wait.Seconds(), note)
 		return fmt.Sprintf("HTTP/1.1 429 Too Many Requests\r\nRetry-After: %.3f\r\nConnection: close\r\n\r\nshut\n", wait.Seconds()), false
 	})
 	if err != nil {
 		return false, err
 	}
-	a.set(entry{ID: "e1", Addr: e.addr, Zone: "marabella", Kind: "small", Cell: 7, State: "up", Weight: 8})
+	healthy, err := newEndpoint("", func(c *call) (string, bool) {
+		time.Sleep(usualWork)
+		return status(200, ""), true
+	})
+	if err != nil {
+		return false, err
+	}
+	a.set(entry{ID: "e1", Addr: e.addr, Zone: "marabella", Kind: "small", Cell: 7, State: "up", Weight: 8},
+		entry{ID: "e2", Addr: healthy.addr, Zone: "marabella", Kind: "small", Cell: 8, State: "up", Weight: 8})
 	s := r.sender("s0")
 	if err := s.configure(configuration(s, a, settings(), smallLimits())); err != nil {
 		return false, err
@@ -82,11 +95,15 @@
 			r.add("endpoint: shut for %v", shutFor)
 		}
 		id := fmt.Sprintf("order%04d", i)
-		answer, err := c.do(addCommand("", id, "order", 20000, 7, "two dozen roses"), time.Second)
+		dest := 8
+		if i%5 < shareOfFive {
+			dest = 7
+		}
+		answer, err := c.do(addCommand("", id, "order", 20000, dest, "two dozen roses"), time.Second)
 		if err != nil {
 			return false, err
 		}
-		r.add("client: hands in %s, answer %s", id, answer)
+		r.add("client: hands in %s for partner %d, answer %s", id, dest, answer)
 		time.Sleep(betweenCalls)
 	}
 	time.Sleep(5 * time.Second)
