--- a/review/_src2/case_memory.go
+++ b/review/_src2/case_memory.go
@@ -16,9 +16,9 @@
 func init() { cases["memory"] = memoryCase }
 
 const (
-	memoryLimitMB = 192   // the most that the pages give a sender
-	badClients    = 60    // below a third of the 1,024 descriptors
-	badCommands   = 500   // "hundreds of commands at once"
+	memoryLimitMB = 64    // of smallLimits; the pages give a sender 32 to 192 MB
+	badClients    = 5     // "some bad clients"; far below a third of the 512 descriptors
+	badCommands   = 300   // "hundreds of commands at once"
 	badBody       = 60000 // bytes; the pages allow 64 KiB
 	badWaves      = 5
 	wavePause     = 3 * time.Second
@@ -57,8 +57,7 @@
 	}
 	a.set(entry{ID: "e1", Addr: e.addr, Zone: "marabella", Kind: "small", Cell: 7, State: "up", Weight: 50})
 	s := r.sender("s0")
-	limits := map[string]any{"cores": 1.0, "memory_mb": memoryLimitMB, "sockets": 1024, "disk_mb": 3}
-	if err := s.configure(configuration(s, a, settings(), limits)); err != nil {
+	if err := s.configure(configuration(s, a, settings(), smallLimits())); err != nil {
 		return false, err
 	}
 	if err := s.start(); err != nil {
