Sender: input of all clients together stays inside one budget of memory

Usual clients get no answer any more.

Cause: the reader of a client waited while 64 commands were unanswered, but netpoll doesn't wait for a reader. It read on into its own buffer, and on one thread for up to 10 ms before the reader ran at all. The only bound (4.7 MB a client) was checked after that buffer had been copied; none was for all clients.

Change: the reader never waits. It queues complete commands for the loop (client_queue.go), and the goroutine that reads the sockets waits until a client's input is parsed, so netpoll holds one read at most (SO_RCVBUF of 128 KiB bounds that). Incomplete and queued commands share an eighth of memory_mb by dynamic thresholds (inputbudget, Choudhury and Hahne 1998). A command that finds no room is skipped without being held (resp.Skipper) and answered -BUSY in its turn; so are those beyond 1,024 queued. Once answers wait to be written (128 KiB), the queue waits too, in place of closing a client that reads.

Tried and dropped: a queue without a bound by number. A client that floods was then still being answered at the end of a graceful shutdown (TestDrainWithBusyClients: not closed in 20 s).

Tests: the channel that counted unanswered commands is a counter now, so tests that filled or read that channel use the counter. TestDrainAnswersWhatWasRead waits until all commands are read, in place of 64.

--- a/internal/sender/accept.go
+++ b/internal/sender/accept.go
@@ -32,6 +32,10 @@
 	if err != nil {
 		return err
 	}
+	// Accepted connections inherit the size.
+	if err := syscall.SetsockoptInt(ln.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer); err != nil {
+		return errors.Join(err, ln.Close())
+	}
 	loop, err := netpoll.NewEventLoop(s.onClientInput, netpoll.WithOnPrepare(s.onAccept))
 	if err != nil {
 		return errors.Join(err, ln.Close())
@@ -51,7 +55,8 @@
 
 // onAccept registers a new connection in the client table. netpoll calls it before it reads from the connection.
 func (s *Sender) onAccept(conn netpoll.Connection) context.Context {
-	c := &client{conn: conn, connectedAt: s.clock(), peer: conn.RemoteAddr().String(), window: make(chan struct{}, windowSize)}
+	c := &client{conn: conn, connectedAt: s.clock(), peer: conn.RemoteAddr().String(), inputTaken: make(chan struct{}, 1),
+		account: s.inputBudget.NewAccount()}
 	conn.SetWriteTimeout(clientWriteTimeout)
 	conn.AddCloseCallback(func(netpoll.Connection) error {
 		s.clients.connEnded(c)
--- a/internal/sender/capacity_test.go
+++ b/internal/sender/capacity_test.go
@@ -56,22 +56,20 @@
 
 // submitNumbered submits the message with number i. Numbers are spread evenly over the destinations.
 func (h *harness) submitNumbered(c *client, i, destinations int, body []byte) {
-	c.window <- struct{}{}
+	c.count()
 	h.s.handleCommand(c, [][]byte{[]byte("OUT.ADD"), []byte("0"), fmt.Appendf(nil, "message-%012d", i),
 		fmt.Appendf(nil, "c=status,d=3600000,dest=%d", i%destinations), body})
 }
 
 // capacityClient returns a client for submitNumbered, whose replies stay in its output until discardReplies.
 func capacityClient() *client {
-	return &client{window: make(chan struct{}, 2*capacityTurnSize), writingReplies: 1}
+	return &client{writingReplies: 1}
 }
 
 // discardReplies empties the output and the window of a client without a reader.
 func (c *client) discardReplies() {
 	c.output = c.output[:0]
-	for len(c.window) > 0 {
-		<-c.window
-	}
+	c.releaseWindow(int(c.unanswered.Load()))
 }
 
 // submitMany submits count messages, with a turn after each capacityTurnSize of them.
--- a/internal/sender/client_input.go
+++ b/internal/sender/client_input.go
@@ -1,12 +1,11 @@
 package sender
 
-// This file parses the input of clients into commands. For each client, at most one incomplete command and one window of
-// complete commands are held. Input after a malformed command is not parsed, because the start of the next command is
-// unknown.
+// This file parses the input of clients into commands and queues them for the loop. For each client at most one incomplete
+// command is held. Input after a malformed command is not parsed, because the start of the next command is unknown.
 
 import (
 	"context"
-	"errors"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 
@@ -15,14 +14,37 @@
 
 const (
 	maxInput = resp.MaxBulk + 8<<10 // maximum size of one command in bytes
-	// maxBufferedInput is the maximum number of bytes that netpoll may have read while a client's window was full.
-	maxBufferedInput = windowSize * maxInput
 	// maxIdleBuffer is the capacity in bytes of the largest input buffer that a client keeps while it has no incomplete
 	// command.
 	maxIdleBuffer = maxInput / 8
+	// receiveBuffer is the size in bytes of the kernel's receive buffer of a client connection, and so of the most that
+	// netpoll reads at once.
+	receiveBuffer = 128 << 10
 )
 
-var errTooMuchUnparsed = errors.New("too many commands are unfinished")
+func init() {
+	if err := netpoll.Configure(netpoll.Config{Runner: runCallback}); err != nil {
+		panic(err) // only with settings that are not made here
+	}
+}
+
+// runCallback runs one of netpoll's tasks, which calls onClientInput or onEndpointInput. It is called by the goroutine that
+// reads all sockets. For a client it waits until the input is parsed: otherwise that goroutine would go on reading, and
+// would fill netpoll's buffer faster than the reader empties it. The task itself ends later, because its end may wait for
+// that goroutine.
+func runCallback(ctx context.Context, task func()) {
+	c, isClient := ctx.Value(clientKey{}).(*client)
+	if !isClient {
+		go task()
+		return
+	}
+	select {
+	case <-c.inputTaken: // by a call that nobody waited for
+	default:
+	}
+	go task()
+	<-c.inputTaken
+}
 
 // onClientInput parses all input that has arrived on a connection. netpoll calls it, and calls it again only when more
 // input arrives. It is the reader of the client: at most one call runs for a connection at a time.
@@ -32,24 +54,17 @@
 		return conn.Close()
 	}
 	c.readerBusy.Store(true)
-	defer c.readerBusy.Store(false)
-	if err := s.takeInput(c, conn.Reader()); err != nil {
-		return err
-	}
-	defer s.countUnparsed(c)
-	if len(c.input) > maxBufferedInput {
-		s.stopReading(c)
-		s.post(func() { s.closeClient(c, tooFarAhead) })
-		return nil
-	}
-	if parsed, readOn := s.postCommands(c); readOn {
-		s.keepIncomplete(c, parsed)
-	}
-	return nil
+	defer func() {
+		c.readerBusy.Store(false)
+		select {
+		case c.inputTaken <- struct{}{}:
+		default:
+		}
+	}()
+	return s.takeInput(c, conn.Reader())
 }
 
-// takeInput moves the bytes that netpoll has read to the client's input, or discards them if the client is lingering or its
-// input is ignored.
+// takeInput parses the bytes that netpoll has read, or discards them if the client is lingering or its input is ignored.
 func (s *Sender) takeInput(c *client, r netpoll.Reader) error {
 	piece, err := r.Next(r.Len())
 	if err != nil {
@@ -57,94 +72,118 @@
 	}
 	switch {
 	case s.discardIfLingering(c, len(piece)):
-		s.stopReading(c)
+		c.stopReading()
 	case c.ignoreInput.Load():
-		c.input = nil
+		c.dropInput()
 	default:
-		c.input = append(c.input, piece...)
+		s.parseInput(c, append(c.input, piece...))
 	}
-	r.Release()
-	return nil
+	return r.Release()
 }
 
-// postCommands posts all complete commands of the input to the loop. It returns how many bytes these commands took, and
-// whether the reader keeps the rest of the input and goes on reading.
-func (s *Sender) postCommands(c *client) (parsed int, readOn bool) {
-	for {
-		took, err := s.nextCommand(c, c.input[parsed:])
-		if err != nil {
-			s.stopReading(c)
-			// The loop closes the client after all answers are written. Input that arrives until then is discarded.
-			if s.acquireWindow(c) {
-				s.post(func() { s.protocolError(c, err) })
-			}
-			return parsed, false
+// parseInput queues all complete commands of the input and keeps the rest, which is the beginning of an incomplete command.
+func (s *Sender) parseInput(c *client, input []byte) {
+	rest := input
+	for len(rest) > 0 {
+		took, readOn := s.parseCommand(c, rest)
+		if !readOn || c.ignoreInput.Load() {
+			c.stopReading()
+			return
 		}
 		if took == 0 {
-			return parsed, true
-		}
-		text := append([]byte(nil), c.input[parsed:parsed+took]...) // a copy, because c.input is reused
-		command, _, _ := resp.Command(text, nil)
-		parsed += took
-		if !s.acquireWindow(c) {
-			s.stopReading(c)
-			return parsed, false
-		}
-		s.post(func() { s.handleCommand(c, command) })
-		if c.ignoreInput.Load() {
-			s.stopReading(c)
-			return parsed, false
+			break
 		}
+		rest = rest[took:]
 	}
+	c.keepIncomplete(input, rest)
 }
 
-// nextCommand parses one command from the start of text into c.args and returns its length in bytes, or 0 if it is
-// incomplete. An incomplete command is an error if it is longer than maxInput, or if it is the first input that is held for
-// its client and the incomplete commands of all clients would take more than maxUnparsedBytes.
-func (s *Sender) nextCommand(c *client, text []byte) (took int, err error) {
-	args, took, err := resp.Command(text, c.args)
+// parseCommand handles one command at the start of the input, or the next part of one that is being skipped. It returns how
+// many bytes it took, 0 if the command is incomplete, and whether the reader goes on.
+func (s *Sender) parseCommand(c *client, input []byte) (took int, readOn bool) {
+	if c.skipper != nil {
+		return s.skipInput(c, input)
+	}
+	args, took, err := resp.Command(input, c.args)
 	switch {
-	case err != nil:
-		return 0, err
-	case took > 0:
+	case err == nil && took > 0:
 		c.args = args
-	case len(text) > maxInput:
-		return 0, resp.ErrLength
-	case c.unparsed == 0 && s.unparsedBytes.Load()+int64(len(text)) > s.maxUnparsedBytes:
-		return 0, errTooMuchUnparsed
+		c.partialSince.Store(0)
+		c.setUnparsed(0)
+		return took, s.queueCommand(c, input[:took])
+	case err == nil && len(input) > maxInput:
+		err = resp.ErrLength
 	}
-	return took, nil
+	if err != nil {
+		// The loop closes the client after all answers are written. Input that arrives until then is discarded.
+		s.queueError(c, err)
+		return 0, false
+	}
+	c.startPartial(s.clock())
+	if !c.setUnparsed(int64(len(input))) {
+		c.skipper = &resp.Skipper{}
+		return s.skipInput(c, input)
+	}
+	return 0, true
 }
 
-// keepIncomplete keeps the input after the parsed commands, which is the beginning of an incomplete command, and the time
-// since which that command is incomplete.
-func (s *Sender) keepIncomplete(c *client, parsed int) {
-	rest := c.input[parsed:]
-	if len(rest) == 0 {
-		c.partialSince.Store(0)
-		if cap(c.input) > maxIdleBuffer {
-			c.input = nil
-		}
-		c.input = c.input[:0]
-		return
+// skipInput skips the next part of a command for which the input budget has no room, and queues the command as dropped once
+// it is complete.
+func (s *Sender) skipInput(c *client, input []byte) (took int, readOn bool) {
+	took, complete, err := c.skipper.Skip(input)
+	switch {
+	case err != nil:
+		s.queueError(c, err)
+		return 0, false
+	case !complete:
+		return took, true
 	}
-	if parsed > 0 || c.partialSince.Load() == 0 {
-		c.partialSince.Store(max(1, int64(s.clock())))
+	c.skipper = nil
+	c.partialSince.Store(0)
+	return took, s.queueDropped(c)
+}
+
+// keepIncomplete keeps rest, which is the end of input and the beginning of an incomplete command.
+func (c *client) keepIncomplete(input, rest []byte) {
+	switch {
+	case len(rest) > 0 && cap(input) > maxInput+receiveBuffer:
+		c.input = append([]byte(nil), rest...)
+	case len(rest) == 0 && cap(input) > maxIdleBuffer:
+		c.input = nil
+	default:
+		c.input = append(input[:0], rest...)
 	}
-	c.input = append(c.input[:0], rest...)
+}
+
+// startPartial records that a command is incomplete from now on, unless one is already.
+func (c *client) startPartial(now time.Duration) {
+	c.partialSince.CompareAndSwap(0, max(1, int64(now)))
 }
 
 // stopReading drops the client's input and makes the reader ignore all further input. Only the reader calls it.
-func (s *Sender) stopReading(c *client) {
-	c.input = nil
+func (c *client) stopReading() {
+	c.dropInput()
 	c.ignoreInput.Store(true)
 	c.partialSince.Store(0)
 }
 
-// countUnparsed updates clientFrontend.unparsedBytes by the bytes that the client holds of an incomplete command. Only the
-// reader calls it.
-func (s *Sender) countUnparsed(c *client) {
-	now := int64(len(c.input))
-	s.unparsedBytes.Add(now - c.unparsed)
-	c.unparsed = now
+// dropInput drops the incomplete command.
+func (c *client) dropInput() {
+	c.input, c.skipper = nil, nil
+	c.setUnparsed(0)
+}
+
+// setUnparsed sets how many bytes of an incomplete command the client holds. It reports whether the input budget has room for
+// them; if not, the client holds none. Only the reader calls it, and the loop once the reader no longer runs.
+func (c *client) setUnparsed(bytes int64) bool {
+	more := bytes - c.unparsed
+	if more > 0 && !c.account.Take(more) {
+		c.setUnparsed(0)
+		return false
+	}
+	if more < 0 {
+		c.account.Release(-more)
+	}
+	c.unparsed = bytes
+	return true
 }
--- a/internal/sender/client_timeouts.go
+++ b/internal/sender/client_timeouts.go
@@ -82,7 +82,7 @@
 	s.clients.Unlock()
 	c.disconnected = true
 	s.flushReplies(c)
-	s.unparsedBytes.Add(-c.unparsed) // the reader no longer runs, so it cannot change c.unparsed
+	c.setUnparsed(0) // the reader no longer runs
 	s.counts.clientsEnded++
 	s.logConnEnded("client", c.peer, c.closeReason, nil)
 }
--- a/internal/sender/clients.go
+++ b/internal/sender/clients.go
@@ -12,16 +12,21 @@
 
 	"flaxcove/choice"
 	"flaxcove/internal/config"
+	"flaxcove/internal/resp"
+	"flaxcove/internal/sender/inputbudget"
 )
 
 const (
-	windowSize          = 64              // maximum number of commands of one client that are not answered yet
+	windowSize          = 64              // maximum number of commands of one client that are handled and not answered yet
 	clientWriteTimeout  = 5 * time.Second // timeout for one write of answers
 	reservedDescriptors = 48              // descriptors kept for the process itself, discovery, the platform and the journal
 	// firstInputTimeout is the time after connecting within which an ordinary client has sent its first bytes.
 	firstInputTimeout = 200 * time.Millisecond
 	// minIdleTime is how long a served client may stay idle after its last answer before it may be closed for being idle.
 	minIdleTime = 2 * time.Second
+	// inputMemoryDivisor is the reciprocal of the share of the memory limit that input of clients may take. Copies of it, and
+	// what the garbage collector has not freed yet, take several times as much.
+	inputMemoryDivisor = 8
 )
 
 // These are the reasons for the end of a client connection, as the log reports them.
@@ -31,18 +36,16 @@
 	tooManyClients reason = "too_many_clients"
 	partialCommand reason = "half_a_command"
 	slowReader     reason = "answers_not_read"
-	tooFarAhead    reason = "too_far_ahead"
 	drained        reason = "drained"
 	silentClient   reason = "said_nothing"
 )
 
 // clientFrontend is the part of a Sender that serves clients. Its fields do their own locking, except for listener and
-// maxUnparsedBytes, which are set before clients are served.
+// inputBudget, which are set before clients are served.
 type clientFrontend struct {
-	clients          clientTable
-	listener         netpoll.Listener
-	unparsedBytes    atomic.Int64 // bytes of incomplete commands held for all clients
-	maxUnparsedBytes int64        // upper bound of unparsedBytes
+	clients     clientTable
+	listener    netpoll.Listener
+	inputBudget *inputbudget.Budget // memory for incomplete commands and for commands that are queued for the loop
 }
 
 // clientTable holds the connected clients. A client is removed when its connection has ended. The loop and netpoll's poller
@@ -64,7 +67,8 @@
 type client struct {
 	conn         netpoll.Connection
 	peer         string        // remote address
-	window       chan struct{} // one element for each unanswered command, added before the command is posted to the loop
+	unanswered   atomic.Int64  // number of commands that the reader has counted and whose answers are not written
+	inputTaken   chan struct{} // gets an element when the reader has parsed its input
 	readerBusy   atomic.Bool   // the reader is running
 	partialSince atomic.Int64  // time on the sender's clock since which a command is incomplete; 0 if none is
 	idleSince    atomic.Int64  // time on the sender's clock of the last answer written; 0 before the first answer
@@ -80,30 +84,41 @@
 	lingeringSince   time.Duration // time on the sender's clock
 	lingerReason     reason
 
+	account *inputbudget.Account // the client's part of clientFrontend.inputBudget
+
+	// queueLock guards this group of fields. No other lock is taken under it.
+	queueLock      sync.Mutex
+	queued         []queuedCommand // commands that the loop has not handled, in their order
+	queueAnnounced bool            // the loop knows that the queue is not empty
+
 	// The reader owns this group of fields.
-	input     []byte   // input that is not parsed yet
-	args      [][]byte // arguments of the last command, reused by the next one
-	unparsed  int64    // the client's part of clientFrontend.unparsedBytes
-	discarded int      // bytes discarded while the client was lingering
+	input     []byte        // the beginning of an incomplete command
+	skipper   *resp.Skipper // skips an incomplete command that is dropped; nil if there is none
+	args      [][]byte      // arguments of the last command, reused by the next one
+	unparsed  int64         // bytes of input that the client's account holds
+	discarded int           // bytes discarded while the client was lingering
 
 	// The loop owns this group of fields.
 	connectedAt      time.Duration // time on the sender's clock; set once, before the client is in the table
+	handled          int           // commands in the window: handled, and their answers are not written
 	replies          []*reply      // replies that are not in output yet, in the order of the commands
 	served           bool          // the client has sent a command
 	badCommands      int           // number of invalid commands
 	output           []byte        // answers that are ready and not being written yet
-	outputReplies    int           // number of answers in output
-	writingReplies   int           // number of answers that are being written
+	outputReplies    int           // number of commands that output answers
+	writingReplies   int           // number of commands whose answers are being written
 	closeReason      reason
 	closing          bool // the connection is closed once all answers are written
+	resumeScheduled  bool // a timer will go on with the queue
 	recheckScheduled bool // a timer will check again whether the connection can be closed
 	disconnected     bool // the connection has ended or is being closed; nothing more is written
 }
 
-// reply reserves the position of one answer among the answers to its client.
+// reply reserves the position of an answer among the answers to its client. The text may be that of several commands.
 type reply struct {
-	client *client
-	text   []byte // nil until the answer is known
+	client   *client
+	commands int
+	text     []byte // nil until the answer is known
 }
 
 // init sets the limits of the table from the configuration. Half of the sockets are for clients.
@@ -113,7 +128,7 @@
 	f.clients.maxServed = f.clients.maxConns - max(1, f.clients.maxConns/8)
 	f.clients.setBusyReply(&cfg.Settings)
 	f.clients.idleCloseThreshold = cfg.Limits.Sockets / 4
-	f.maxUnparsedBytes = max(4*maxInput, cfg.Limits.MemoryMB<<20/16)
+	f.inputBudget = inputbudget.New(cfg.Limits.MemoryMB << 20 / inputMemoryDivisor)
 }
 
 // setBusyReply sets the answer to rejected clients. It asks them to wait for the longest retry time in the settings.
@@ -132,7 +147,7 @@
 // idle reports whether no input of the client is being read, handled or answered. Closing a connection that is not idle
 // leaves a command without an answer, which counts as lost.
 func (c *client) idle() bool {
-	return len(c.window) == 0 && (c.ignoreInput.Load() || !c.readerBusy.Load() && c.partialSince.Load() == 0)
+	return c.unanswered.Load() == 0 && (c.ignoreInput.Load() || !c.readerBusy.Load() && c.partialSince.Load() == 0)
 }
 
 // isWriteClosed reports whether the sender has shut down its sending side of the connection.
--- a/internal/sender/command_test.go
+++ b/internal/sender/command_test.go
@@ -74,9 +74,9 @@
 		return h.client(conn)
 	}
 	idle, partial, asked, queued := connect(), connect(), connect(), connect()
-	queued.window <- struct{}{} // as if a command of this client waited in the inbox
+	queued.count() // as if a command of this client waited in the inbox
 	partial.partialSince.Store(int64(h.clock))
-	asked.window <- struct{}{}
+	asked.count()
 	h.s.addMessage(h.s.reserveReply(asked), [][]byte{nil, []byte("0"), []byte("id"), []byte("c=status,d=6000,dest=1"), nil})
 	h.clock += time.Second
 	h.s.startDrain(h.clock)
--- a/internal/sender/counters.go
+++ b/internal/sender/counters.go
@@ -15,7 +15,7 @@
 	attempts, probes, connects, connectsFailed, callsTimedOut     int64
 	delivered, shed, failed, endingsPosted, postsFailed           int64
 	clientsEnded, linksEnded, watchesEnded, rewrites              int64
-	reloads                                                       int64
+	reloads, inputDropped                                         int64
 	purges, withdrawn, withdrawnInFlight, evicted, learnedAdopted int64
 	outcomes                                                      [choice.Unreadable + 1]int64
 }
@@ -45,6 +45,7 @@
 		{"taken_on", n.accepted},
 		{"refused", n.rejected},
 		{"bad_commands", n.badCommands},
+		{"dropped_for_memory", n.inputDropped}, // included in refused
 		{"replayed", n.replayed},
 	}
 }
--- a/internal/sender/drain_test.go
+++ b/internal/sender/drain_test.go
@@ -68,7 +68,7 @@
 	const commands = 3 * windowSize
 	onLoop(t, s, func() {
 		io.WriteString(conn, strings.Repeat(pingText, commands))
-		waitUntil(t, "the window is full and the other commands have arrived", func() bool { return allAcknowledged(t, conn) && len(c.window) == windowSize })
+		waitUntil(t, "all commands are read", func() bool { return allAcknowledged(t, conn) && c.unanswered.Load() == commands })
 		s.startDrain(s.clock() - drainReadTime)
 	})
 	if text, err := io.ReadAll(conn); string(text) != strings.Repeat(pongText, commands) || err != nil {
@@ -102,7 +102,7 @@
 	io.WriteString(slow, strings.Repeat(string(resp.AppendCommand(nil, []byte("PING"), make([]byte, resp.MaxBulk))), commands))
 	waitUntil(t, "the answers wait because the client does not read", func() (wait bool) {
 		onLoop(t, s, func() {
-			wait = c.writingReplies > 0 && len(c.window) > 0 && c.partialSince.Load() == 0 && c.writingReplies+c.outputReplies == len(c.window)
+			wait = c.writingReplies > 0 && c.unanswered.Load() > 0 && c.partialSince.Load() == 0 && c.writingReplies+c.outputReplies == int(c.unanswered.Load())
 		})
 		return wait && allAcknowledged(t, slow)
 	})
--- a/internal/sender/harness_test.go
+++ b/internal/sender/harness_test.go
@@ -125,17 +125,23 @@
 
 // newClient returns a client whose replies stay in its output.
 func newClient() *client {
-	return &client{window: make(chan struct{}, windowSize), writingReplies: 1}
+	return &client{writingReplies: 1}
 }
 
 // newUnreadClient returns a client that has disconnected; its replies are dropped.
 func newUnreadClient() *client {
-	return &client{window: make(chan struct{}, windowSize), disconnected: true}
+	return &client{disconnected: true}
+}
+
+// count counts a command that a test handles without a reader.
+func (c *client) count() {
+	c.unanswered.Add(1)
+	c.handled++
 }
 
 // handle handles a command of a client. Its arguments are separated by spaces.
 func (h *harness) handle(c *client, command string) {
-	c.window <- struct{}{}
+	c.count()
 	h.s.handleCommand(c, splitArgs(command))
 }
 
@@ -169,7 +175,7 @@
 
 // client returns a client that has just connected.
 func (h *harness) client(conn netpoll.Connection) *client {
-	c := &client{conn: conn, connectedAt: h.clock, window: make(chan struct{}, windowSize)}
+	c := &client{conn: conn, connectedAt: h.clock}
 	h.s.clients.all[c] = struct{}{}
 	h.s.clients.served++
 	return c
--- a/internal/sender/lingering_close.go
+++ b/internal/sender/lingering_close.go
@@ -63,14 +63,14 @@
 	switch {
 	case c.writeClosed:
 		return true
-	case c.descriptorClosed || len(c.window) > 0:
+	case c.descriptorClosed || c.unanswered.Load() > 0:
 		return false
 	case c.ignoreInput.Load(): // further input is not answered, so it is not waited for
 	// Input moves from the socket to netpoll's buffer and then to the reader. The reader is busy until it has counted a
 	// command or set partialSince. The checks follow the same order, so that they cannot miss input on its way.
 	case !force && !noInputPending(c.conn) || c.conn.Reader().Len() > 0 || c.readerBusy.Load():
 		return false
-	case !force && c.partialSince.Load() != 0 || len(c.window) > 0:
+	case !force && c.partialSince.Load() != 0 || c.unanswered.Load() > 0:
 		return false
 	}
 	t.releasePlace(c, now, why)
@@ -85,7 +85,7 @@
 func (t *clientTable) reject(c *client, now time.Duration, why reason) bool {
 	c.stateLock.Lock()
 	defer c.stateLock.Unlock()
-	if c.lingering || c.descriptorClosed || c.conn.Reader().Len() > 0 || c.readerBusy.Load() || len(c.window) > 0 {
+	if c.lingering || c.descriptorClosed || c.conn.Reader().Len() > 0 || c.readerBusy.Load() || c.unanswered.Load() > 0 {
 		return false
 	}
 	c.rejected = true
@@ -155,18 +155,6 @@
 	}
 }
 
-// acquireWindow counts a command in the client's window of unanswered commands, and blocks while the window is full. It
-// reports whether the command is to be handled. A command that is read after the half-close is not: its client submits it
-// elsewhere. Only the reader calls acquireWindow.
-func (s *Sender) acquireWindow(c *client) bool {
-	c.window <- struct{}{}
-	if s.discardsInput(c) {
-		<-c.window
-		return false
-	}
-	return true
-}
-
 // discardsInput reports whether the reader has to discard input because the sending side is shut down. If c is a rejected
 // client with its first input, discardsInput answers it with -BUSY and half-closes the connection.
 func (s *Sender) discardsInput(c *client) bool {
--- a/internal/sender/lingering_close_test.go
+++ b/internal/sender/lingering_close_test.go
@@ -113,7 +113,7 @@
 	onLoop(t, s, func() {
 		c.conn = &lateInputConn{Connection: c.conn, onLastCheck: func() {
 			io.WriteString(conn, addText("crossing"))
-			waitUntil(t, "the reader has got the command", func() bool { return c.readerBusy.Load() || len(c.window) > 0 })
+			waitUntil(t, "the reader has got the command", func() bool { return c.readerBusy.Load() || c.unanswered.Load() > 0 })
 		}}
 		s.closeClient(c, idleTimeout)
 	})
@@ -135,14 +135,14 @@
 	resume := func() {}
 	onLoop(t, s, func() {
 		io.WriteString(conn, pingText)
-		waitUntil(t, "the command is counted", func() bool { return len(c.window) == 1 && !c.readerBusy.Load() })
+		waitUntil(t, "the command is counted", func() bool { return c.unanswered.Load() == 1 && !c.readerBusy.Load() })
 		s.closeClient(c, idleTimeout)
 		resume = stallPollers(t)
 		io.WriteString(conn, pingText)
 		waitUntil(t, "the second command has arrived", func() bool { return allAcknowledged(t, conn) })
 	})
 	mustRead(t, conn, pongText)
-	waitOnLoop(t, s, "the first command has left the window", func() bool { return len(c.window) == 0 })
+	waitOnLoop(t, s, "the first command has left the window", func() bool { return c.unanswered.Load() == 0 })
 	resume()
 	expectToEnd(t, "the client", conn, pongText)
 	conn.Close()
--- a/internal/sender/many_clients_test.go
+++ b/internal/sender/many_clients_test.go
@@ -68,7 +68,7 @@
 		conn, _ := netpoll.NewFDConnection(pair[0])
 		syscall.Write(pair[1], []byte(input))
 		h.clock += time.Second
-		return &client{conn: conn, connectedAt: h.clock, window: make(chan struct{}, windowSize)}
+		return &client{conn: conn, connectedAt: h.clock}
 	}
 	table := &h.s.clients
 	table.maxServed = 2
@@ -105,7 +105,7 @@
 	for range s.clients.maxServed {
 		conn := dial(pingText)
 		c := clientOf(t, s, conn)
-		waitUntil(t, "the command is counted", func() bool { return len(c.window) == 1 && !c.readerBusy.Load() })
+		waitUntil(t, "the command is counted", func() bool { return c.unanswered.Load() == 1 && !c.readerBusy.Load() })
 		asking = append(asking, conn)
 	}
 	expectToEnd(t, "a new client", dial(pingText), busyAnswer)
--- a/internal/sender/misbehaving_clients_test.go
+++ b/internal/sender/misbehaving_clients_test.go
@@ -18,8 +18,8 @@
 	t.Run("idle", func(t *testing.T) { checkIdleClients(t, dial) })
 	s.Drain()
 	<-done
-	if n := s.unparsedBytes.Load(); n != 0 {
-		t.Errorf("unparsedBytes is %d after all clients have gone", n)
+	if n := s.inputBudget.Held(); n != 0 {
+		t.Errorf("the input budget holds %d bytes after all clients have gone", n)
 	}
 }
 
--- a/internal/sender/outcomes_test.go
+++ b/internal/sender/outcomes_test.go
@@ -70,7 +70,7 @@
 		"HTTP/1.1 410 Gone\nContent-Length: 0\n\n", "HTTP/1.1 504 Out\nContent-Length: 0\n\n", "HTTP/1.1 200 OK\nContent-", "HTTP/1.1 429 Wait\nCont", "HTTP/1.", "", lastByteUnsent, "nonsense\n"} {
 		h := start("", 100)
 		c := newUnreadClient()
-		c.window <- struct{}{}
+		c.count()
 		h.s.handleCommand(c, [][]byte{[]byte("OUT.ADD"), []byte("0"), []byte("id"), []byte("c=order,d=20000,dest=1"), nil})
 		h.s.turn()
 		m := h.s.pending["id"]
@@ -117,7 +117,7 @@
 		h := start(t.TempDir(), 100)
 		c := newUnreadClient()
 		for _, id := range []string{"s1", "s2"} {
-			c.window <- struct{}{}
+			c.count()
 			h.s.handleCommand(c, [][]byte{[]byte("OUT.ADD"), []byte("0"), []byte(id), []byte("c=status,d=6000,dest=2"), nil})
 		}
 		h.s.turn()
--- a/internal/sender/replies.go
+++ b/internal/sender/replies.go
@@ -3,6 +3,7 @@
 // This file writes answers to clients in the order of their commands. The loop never waits for a client that reads slowly.
 
 import (
+	"bytes"
 	"strconv"
 	"time"
 
@@ -19,7 +20,7 @@
 // reserveReply reserves the next reply to a client, for a command that is being handled.
 func (s *Sender) reserveReply(c *client) *reply {
 	c.served = true
-	r := &reply{client: c}
+	r := &reply{client: c, commands: 1}
 	c.replies = append(c.replies, r)
 	return r
 }
@@ -30,9 +31,9 @@
 	c := r.client
 	for len(c.replies) > 0 && c.replies[0].text != nil {
 		c.output = append(c.output, c.replies[0].text...)
+		c.outputReplies += c.replies[0].commands
 		c.replies[0] = nil
 		c.replies = c.replies[1:]
-		c.outputReplies++
 	}
 	s.flushReplies(c)
 }
@@ -62,6 +63,15 @@
 	s.setReply(r, busyText(ms))
 }
 
+// answerDropped rejects commands that were dropped because the input budget or the client's queue was full.
+func (s *Sender) answerDropped(c *client, commands int) {
+	r := s.reserveReply(c)
+	r.commands = commands
+	s.counts.inputDropped += int64(commands)
+	s.counts.rejected += int64(commands)
+	s.setReply(r, bytes.Repeat(busyText(s.longestReturnMS()), commands))
+}
+
 // busyText returns the -BUSY answer; ms is left out if it is 0.
 func busyText(ms int64) []byte {
 	text := "BUSY"
@@ -71,13 +81,6 @@
 	return resp.AppendError(nil, text)
 }
 
-// releaseWindow removes count commands from the window, whose answers are written or can no longer be written.
-func (c *client) releaseWindow(count int) {
-	for range count {
-		<-c.window
-	}
-}
-
 // flushReplies starts to write the client's output, or, if there is none, continues to close a closing client. Each write
 // runs in its own goroutine, because netpoll's Write blocks while a client reads slowly.
 func (s *Sender) flushReplies(c *client) {
@@ -85,6 +88,7 @@
 	case c.disconnected:
 		c.releaseWindow(c.outputReplies)
 		c.output, c.outputReplies = nil, 0
+		s.resumeQueue(c)
 	case c.writingReplies > 0: // onFlushed calls flushReplies again
 	case len(c.output) > 0:
 		text := c.output
@@ -117,4 +121,5 @@
 		c.conn.Close()
 	}
 	s.flushReplies(c)
+	s.handleQueue(c)
 }
