Sender: test that commands sent at once are all answered

While the reader waited for the window, netpoll read on; beyond 4.7 MB the input was dropped and the client closed (too_far_ahead) with complete commands unanswered.

--- a/internal/sender/misbehaving_clients_test.go
+++ b/internal/sender/misbehaving_clients_test.go
@@ -1,6 +1,8 @@
 package sender
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -87,3 +89,30 @@
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestPipelinedCommandsAreAnswered guards against commands that are read and never answered because their client sends many
+// at once: each is answered, in order, whether it is handled or rejected, and the connection stays open.
+func TestPipelinedCommandsAreAnswered(t *testing.T) {
+	s, dial, done := startServingClients(t, 64)
+	const commands, bodyBytes = 200, 60_000
+	conn := dial("")
+	go func() {
+		body := strings.Repeat("x", bodyBytes)
+		for i := range commands {
+			conn.Write(outAdd("0", fmt.Sprint("pipelined", i), "c=status,d=6000,dest=1", body))
+		}
+		io.WriteString(conn, pingText)
+	}()
+	answers := bufio.NewReader(conn)
+	for i := range commands {
+		if line, err := answers.ReadString('\n'); line != "+OK\r\n" && line != busyAnswer || err != nil {
+			t.Fatalf("answer %d of %d: %q, %v", i, commands, line, err)
+		}
+	}
+	if line, err := answers.ReadString('\n'); line != pongText {
+		t.Errorf("the command after the burst: %q, %v", line, err)
+	}
+	conn.Close()
+	s.Drain()
+	<-done
+}
