Sender: TestFewDescriptors waits for the ends of idle clients before it connects the last one

The last client was sometimes answered -BUSY: netpoll hands ends of connections to a goroutine of their own, so that a connection that came later was accepted while all places still counted as taken. The test now waits until the sender counts one client; the check is as before.

--- a/internal/sender/descriptors_test.go
+++ b/internal/sender/descriptors_test.go
@@ -255,21 +255,28 @@
 			}
 			send("nowhere", "c=status,d=1200,dest=9", 4<<10)
 			waitUntil(t, "60 messages are delivered and one end is reported", func() bool { return p.callCount.Load() >= 60 && p.reportCount.Load() >= 1 })
-			waitUntil(t, "the journal is rewritten", func() bool {
+			readInfo := func() string {
 				io.WriteString(conn, "*1\r\n$4\r\nINFO\r\n")
 				line, _ := answers.ReadString('\n')
 				size, _ := strconv.Atoi(strings.Trim(line, "$\r\n"))
 				info := make([]byte, size+2)
-				_, err := io.ReadFull(answers, info)
-				return err == nil && strings.Contains(string(info), "journal_rewritings") && !strings.Contains(string(info), "journal_rewritings:0")
+				io.ReadFull(answers, info)
+				return string(info)
+			}
+			waitUntil(t, "the journal is rewritten", func() bool {
+				info := readInfo()
+				return strings.Contains(info, "journal_rewritings") && !strings.Contains(info, "journal_rewritings:0")
 			})
-			for _, c := range append(idle, conn) {
+			for _, c := range idle {
 				c.Close()
 			}
+			// The end of a connection is handled some time after a new connection that came later.
+			waitUntil(t, "the ends of the idle clients are handled", func() bool { return strings.Contains(readInfo(), "\r\nclients:1\r\n") })
 			last := dial(t)
 			io.WriteString(last, pingText)
 			mustRead(t, last, pongText)
 			last.Close()
+			conn.Close()
 			program.end(t)
 		})
 	}
