Sender: a start while discovery is silent waits for the list before it sends

Cause: a start waited 150 ms for the list, then sent by the list of its configuration for as long as the agent of discovery was silent. What the agent has counts from the first moment of a process.

Tests whose stand-in of discovery never answered, and which are not about that, answer now that the list is unchanged (answerUnchanged): with silence their messages would wait.

--- a/internal/directory/call.go
+++ b/internal/directory/call.go
@@ -18,6 +18,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"flaxcove/internal/http1"
@@ -41,6 +42,16 @@
 	errSuperseded = errors.New("an earlier call received data first")
 )
 
+// statusError is the failure of a call whose answer has an error status.
+type statusError struct{ error }
+
+// Refused reports whether a failure shows that nobody serves the list at the address now: the call was refused, or answered
+// with an error status. Silence and a connection that breaks don't show this. err is a value passed to OnFailure.
+func Refused(err error) bool {
+	var status statusError
+	return errors.As(err, &status) || errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // call is one call for the list. Its own goroutine owns the fields, except for established, which the watcher owns.
 type call struct {
 	watcher      *watcher
@@ -159,7 +170,7 @@
 	var netErr net.Error
 	switch {
 	case c.errorStatus:
-		return errorStatus, err
+		return errorStatus, statusError{err}
 	case c.timedOut, errors.As(err, &netErr) && netErr.Timeout():
 		return silent, fmt.Errorf("%w: %s", errSilent, c.awaited())
 	case errors.Is(err, io.EOF) && c.headRead:
--- a/internal/directory/silence_test.go
+++ b/internal/directory/silence_test.go
@@ -107,7 +107,7 @@
 
 // onListOnly returns callbacks of which only OnList does something.
 func onListOnly(onList func(List)) Callbacks {
-	return Callbacks{OnList: onList, OnEstablished: func(Established) {}, OnFailure: func(error) {}}
+	return Callbacks{OnList: onList, OnEstablished: func(Established) {}, OnStalled: func() {}, OnFailure: func(error) {}}
 }
 
 // received is the version of a list and when it was received.
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -50,6 +50,7 @@
 type Callbacks struct {
 	OnList        func(List)        // called with each message
 	OnEstablished func(Established) // called when a call becomes the watch, before OnList
+	OnStalled     func()            // called when a call got no sign of life in time, before OnFailure
 	OnFailure     func(error)       // called with the reason when a call stalls or ends
 }
 
@@ -140,6 +141,7 @@
 			w.callbacks.OnList(*e.list)
 		}
 	case e.kind == stalled && c == w.newest && !c.established:
+		w.callbacks.OnStalled()
 		w.callbacks.OnFailure(e.err)
 		w.newest = nil
 		w.keepStalled(c)
--- a/internal/sender/capacity_sockets_test.go
+++ b/internal/sender/capacity_sockets_test.go
@@ -89,12 +89,12 @@
 	}
 }
 
-// ServeHTTP answers messages and endings, and never answers a request for the endpoint list.
+// ServeHTTP answers messages and endings, and says that the endpoint list is unchanged.
 func (w *capacityServer) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	switch r.URL.Path {
 	case "/api/targets":
-		<-r.Context().Done()
+		answerUnchanged(out, r)
 	case "/inbox":
 		w.delivered.Add(1)
 	case "/v1/outcomes":
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -4,7 +4,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -12,27 +11,9 @@
 	"flaxcove/internal/directory"
 )
 
-// firstListTimeout is how long a start waits for the first list of discovery. Until then nothing is sent by the list of the
-// configuration, which may be out of date: a process is expected to know the list of discovery's agent from its first
-// moment, and the agent answers at once. The timeout is below the 400 ms for which clients wait for an answer.
-const firstListTimeout = 150 * time.Millisecond
-
 // watchEnded is the reason logged when a watch of discovery ends.
 const watchEnded reason = "watch_over"
 
-// awaitFirstList handles events until a list of discovery has been applied or timeout fires. It is called before the loop
-// runs.
-func (s *Sender) awaitFirstList(timeout <-chan time.Time) {
-	for s.eventsPending = true; !s.listReceived; {
-		select {
-		case f := <-s.inbox:
-			f()
-		case <-timeout:
-			return
-		}
-	}
-}
-
 // watch starts a watch of the list at the current address, from version since on. Earlier watches continue until this
 // one receives its first list: a new address that never answers must not leave the sender without a watch.
 func (s *Sender) watch(since int64) {
@@ -48,18 +29,23 @@
 	}
 	onEstablished := func(e directory.Established) {
 		s.post(func() {
+			s.discoveryAnswered()
 			s.log.Info("discovery: watch established", zap.String("peer", addr), zap.Int64("call_age_ms", e.CallAge.Milliseconds()),
 				zap.Int64("silence_ms", e.Silence.Milliseconds()))
 		})
 	}
+	onStalled := func() { s.post(s.discoveryFellSilent) }
 	onEnd := func(err error) {
 		s.post(func() {
 			s.counts.watchesEnded++
+			if directory.Refused(err) {
+				s.discoveryRefused()
+			}
 			s.logConnEnded("discovery", addr, watchEnded, err)
 		})
 	}
 	options := directory.Options{Addr: addr, Senders: s.cfg.Settings.Senders, Since: since, DrainGrace: s.cfg.DrainGrace}
-	go directory.Watch(options, stop, directory.Callbacks{OnList: onList, OnEstablished: onEstablished, OnFailure: onEnd})
+	go directory.Watch(options, stop, directory.Callbacks{OnList: onList, OnEstablished: onEstablished, OnStalled: onStalled, OnFailure: onEnd})
 }
 
 // endWatches ends the oldest watches, as many as count says.
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -94,7 +94,7 @@
 	s.listChanged = true
 	s.dropGone()
 	s.log.Debug("endpoint list applied", zap.Bool("full", l.Full), zap.Bool("stale", stale), zap.Any("entries", l.Entries))
-	s.listReceived = s.listReceived || !stale
+	s.listApplied(l.Version, !stale)
 	s.choice.UpdateEndpoints(entries, l.Full)
 }
 
--- a/internal/sender/gossip_test.go
+++ b/internal/sender/gossip_test.go
@@ -29,7 +29,7 @@
 }
 
 // rejectAll serves as endpoint, platform and discovery: it rejects every message with a Retry-After, accepts all endings,
-// and never answers a request for the endpoint list.
+// and says that the endpoint list is unchanged.
 func rejectAll(out http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/inbox" {
 		io.Copy(io.Discard, r.Body)
@@ -41,7 +41,7 @@
 		out.WriteHeader(http.StatusNoContent)
 		return
 	}
-	<-r.Context().Done()
+	answerUnchanged(out, r)
 }
 
 // gossipRun runs senders of a fleet. The test itself acts as one of the three peers.
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -80,7 +80,7 @@
 		t.fire()
 	}
 	s.readCluster()
-	if !s.pastSendTime() && !s.journalFailing && !s.gated {
+	if !s.pastSendTime() && !s.journalFailing && !s.gated && !s.listAwaited {
 		s.choice.TurnEnd()
 	}
 	s.journalFailing = !s.commit()
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -65,6 +65,7 @@
 	watches   []chan struct{} // closing one ends its watch; the newest is last and ends the others with its first list
 
 	clientFrontend
+	firstList
 	admission
 	routing
 	gossip
--- a/internal/sender/sockets_test.go
+++ b/internal/sender/sockets_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"flaxcove/internal/config"
+	"flaxcove/internal/directory"
 )
 
 // fakeServer serves as discovery, as all endpoints and as the platform. It records what it receives for each message.
@@ -55,12 +57,20 @@
 	return len(w.received[id])
 }
 
+// answerUnchanged answers a request for the endpoint list: nothing has changed, and nothing changes later.
+func answerUnchanged(out http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	json.NewEncoder(out).Encode(directory.List{Version: since, Entries: []directory.Entry{}})
+	out.(http.Flusher).Flush()
+	<-r.Context().Done()
+}
+
 // ServeHTTP answers a message with its own body, as raw bytes on the connection.
 func (w *fakeServer) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	switch r.URL.Path {
 	case "/api/targets":
-		<-r.Context().Done()
+		answerUnchanged(out, r)
 	case "/v1/outcomes":
 		var line struct{ Message, Outcome string }
 		for d := json.NewDecoder(strings.NewReader(string(body))); d.Decode(&line) == nil; {
--- a/lab/yardstick/yardstick.go
+++ b/lab/yardstick/yardstick.go
@@ -60,6 +60,7 @@
 	go directory.Watch(options, stop, directory.Callbacks{
 		OnList:        f.updateEndpoints,
 		OnEstablished: func(directory.Established) {},
+		OnStalled:     func() {},
 		OnFailure:     func(error) {},
 	})
 	ln, err := net.Listen("tcp", cfg.Listen)
