Sender: an answer that the end of its connection completes is an answer

The sender called on within the wait and gave up each order so turned away, although it had surely not run.

Cause: the parser can be told of the end (Answer.End), but nothing did so. Such an answer counted as cut off: may have run, without its headers.

Change: when a connection ends and the kernel says that the other side ended it in order (CLOSE_WAIT), the parser is told, and a complete answer counts like any other. After a reset, or an end by this side, it stays one that was cut off. golang.org/x/sys, until now indirect, reads the state of the socket.

--- a/internal/sender/answer.go
+++ b/internal/sender/answer.go
@@ -140,11 +140,14 @@
 	return len(c.messages) > 1 && a.result == choice.Done && a.states == nil
 }
 
-// cutOffAnswer returns the answer to assume for a call whose link ended before its answer was complete. A complete first
-// line with status 200 proves that a call with one message was delivered; any other part proves nothing. unsent says that
-// the call's last byte was not sent.
+// cutOffAnswer returns the answer of a call whose link ended. If the end does not complete the answer, it is the one to
+// assume: a complete first line with status 200 proves that a call with one message was delivered; any other part proves
+// nothing. unsent says that the call's last byte was not sent, so that an answer which leaves open whether the call has run
+// is not needed.
 func cutOffAnswer(c *call, unsent bool, part *partialAnswer) answer {
 	switch {
+	case part.completed != nil && (!unsent || part.completed.result != choice.Errored):
+		return *part.completed
 	case part.status == http.StatusOK && len(c.messages) == 1:
 		return answer{result: choice.Done, final: true}
 	case unsent:
--- a/internal/sender/call_ends_test.go
+++ b/internal/sender/call_ends_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"flaxcove/choice"
 )
@@ -73,6 +74,14 @@
 		{"429", false, answers(answerFull), choice.Rejected, notRun},
 		{"503", false, answers("HTTP/1.1 503 Full\nContent-Length: 0\n\n"), choice.Rejected, notRun},
 		{"503, no slot", false, answers("HTTP/1.1 503 Full\nX-No-Slot: 1\nContent-Length: 0\n\n"), choice.NotRun, notRun},
+		{"429 without a length", false, answers("HTTP/1.1 429 Wait\nRetry-After: 9\nConnection: close\n\nshut"), choice.Rejected, notRun},
+		{"503 without a length", false, answers("HTTP/1.1 503 Full\n\nshut"), choice.Rejected, notRun},
+		{"503 without a length, no slot", false, answers("HTTP/1.1 503 Full\nX-No-Slot: 1\n\nshut"), choice.NotRun, notRun},
+		{"410 without a length", false, answers("HTTP/1.1 410 Gone\n\ngone"), choice.NotRun, closed},
+		{"500 without a length", false, answers("HTTP/1.0 500 Error\n\nfailed"), choice.Errored, mayHaveRun},
+		{"503 without a length, then reset", false, beginsAnswer("HTTP/1.1 503 Full\n\nshut", resets), choice.Unreadable, mayHaveRun},
+		{"503 without a length, then expired", false, beginsAnswer("HTTP/1.1 503 Full\n\nshut", expires), choice.Unreadable, mayHaveRun},
+		{"503 with half its length", false, answers("HTTP/1.1 503 Full\nContent-Length: 9\n\nshut"), choice.Unreadable, mayHaveRun},
 		{"504", false, answers("HTTP/1.1 504 Out\nContent-Length: 0\n\n"), choice.NotRun, notRun},
 		{"413", false, answers("HTTP/1.1 413 Large\nContent-Length: 0\n\n"), choice.NotRun, notRun},
 		{"500", false, answers(answerError), choice.Errored, mayHaveRun},
@@ -244,3 +253,40 @@
 		t.Errorf("status of the answer %d, want 200", l.answer.Status())
 	}
 }
+
+// TestWaitInAnswerWithoutLength guards against a Retry-After that is ignored because the end of the connection ends its answer:
+// no call goes to the endpoint until the wait is over.
+func TestWaitInAnswerWithoutLength(t *testing.T) {
+	conn, peer := connPair(t, false)
+	h := start(t.TempDir(), 100)
+	h.submit("OUT.ADD 00 id c=order,d=20000,dest=1 xyz")
+	h.connectionUp(h.calls[0], conn)
+	h.calls = nil
+	readUntilSuffix(t, peer, "xyz")
+	peer.Write([]byte("HTTP/1.1 429 Wait\r\nRetry-After: 9\r\nConnection: close\r\n\r\nshut"))
+	peer.Close()
+	h.runUntil(t, "the call ends", func() bool { return h.s.pending["id"] == nil || h.s.pending["id"].inFlight == nil })
+	h.submit("OUT.ADD 00 next c=order,d=20000,dest=1 xyz").advance(8 * time.Second)
+	if h.s.pending["id"] == nil || len(h.calls) != 0 {
+		t.Fatalf("within the wait: the message is pending %v, %d calls", h.s.pending["id"] != nil, len(h.calls))
+	}
+	if h.advance(2 * time.Second); len(h.calls) == 0 {
+		t.Error("no call after the wait")
+	}
+}
+
+// TestBulkAnswerWithoutLength checks that the states in the answer to a bulk call count if the end of the connection ends it.
+func TestBulkAnswerWithoutLength(t *testing.T) {
+	conn, peer := connPair(t, false)
+	h := start(t.TempDir(), 100)
+	h.submit("OUT.ADD 00 s1 c=order,d=20000,dest=2 xyz", "OUT.ADD 00 s2 c=order,d=20000,dest=2 xyz")
+	first, second := h.s.pending["s1"], h.s.pending["s2"]
+	h.connectionUp(h.calls[0], conn)
+	readUntilSuffix(t, peer, "]")
+	peer.Write([]byte("HTTP/1.1 200 OK\r\n\r\n" + `[{"id":"s1","state":"ok"},{"id":"s2","state":"later"}]`))
+	peer.Close()
+	h.runUntil(t, "the call ends", func() bool { return first.inFlight == nil && second.inFlight == nil })
+	if h.s.pending["s1"] != nil || h.s.pending["s2"] == nil || second.MayRun {
+		t.Errorf("s1 is pending %v; s2 is pending %v and may have run %v", h.s.pending["s1"] != nil, h.s.pending["s2"] != nil, second.MayRun)
+	}
+}
--- a/internal/sender/endpoint_input.go
+++ b/internal/sender/endpoint_input.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"flaxcove/internal/http1"
 )
@@ -80,6 +81,33 @@
 	return err
 }
 
+// endOfInput returns what was received of an answer before the connection ended. It is called by netpoll once the input is
+// handled and before the descriptor is closed.
+func (l *link) endOfInput() *partialAnswer {
+	end := &partialAnswer{status: l.answer.Status(), begun: l.answer.Started()}
+	if l.badInput.Load() || !endedInOrder(l.conn) || l.answer.End() != nil || !l.answer.Done {
+		return end
+	}
+	a := readAnswer(&l.answer)
+	a.close = true
+	end.completed = &a
+	return end
+}
+
+// tcpCloseWait is Linux's number of the state of a connection that the other side has ended, without a reset, and this side
+// has not.
+const tcpCloseWait = 8
+
+// endedInOrder reports whether the other side has ended a connection without a reset, after which input may be missing.
+func endedInOrder(conn netpoll.Connection) bool {
+	fd, known := conn.(netpoll.Conn)
+	if !known {
+		return false
+	}
+	info, err := unix.GetsockoptTCPInfo(fd.Fd(), unix.IPPROTO_TCP, unix.TCP_INFO)
+	return err == nil && info.State == tcpCloseWait
+}
+
 // onAnswerBegun limits the time for the rest of an answer to answerRestTimeout. If the rest does not come in time, the
 // received part decides the outcome.
 func (s *Sender) onAnswerBegun(l *link) {
--- a/internal/sender/harness_test.go
+++ b/internal/sender/harness_test.go
@@ -213,7 +213,7 @@
 	}
 	c.done = true
 	if err != nil || !a.Done {
-		h.s.finishCall(c, cutOffAnswer(c, text == lastByteUnsent, &partialAnswer{a.Status(), a.Started()}))
+		h.s.finishCall(c, cutOffAnswer(c, text == lastByteUnsent, &partialAnswer{status: a.Status(), begun: a.Started()}))
 	} else {
 		h.s.finishCall(c, readAnswer(&a))
 	}
--- a/internal/sender/links.go
+++ b/internal/sender/links.go
@@ -80,6 +80,9 @@
 type partialAnswer struct {
 	status int  // 0 if the first line is not complete
 	begun  bool // at least one byte of the answer was received
+	// completed is the answer if it is one whose body the end of the connection ends, and the endpoint has ended the
+	// connection in order; else nil.
+	completed *answer
 }
 
 // connectedCall is a call whose connection was established in this turn.
@@ -152,7 +155,7 @@
 		l.bufferLock.Lock()
 		l.buffersReleased = true
 		l.bufferLock.Unlock()
-		end := &partialAnswer{l.answer.Status(), l.answer.Started()}
+		end := l.endOfInput()
 		go s.post(func() { s.onLinkEnded(l, end) })
 		return nil
 	})
--- a/internal/sender/outcomes.go
+++ b/internal/sender/outcomes.go
@@ -17,6 +17,7 @@
 //	timed out after the last byte, at most interim answers              TimedOut        maybe, now or later
 //	deadline of one message of a bulk call that was written             Cancelled       maybe, now or later
 //	complete first line with 200, call with one message                 Done            yes, whatever followed
+//	answer without a length, completed by an end without a reset        like a complete answer, see below
 //	any other beginning of an answer, or noise                          Unreadable      maybe
 //	complete answer with 200                                            Done            yes; bulk call: by its states
 //	429, 503                                                            Rejected        no
