--- a/lab/world/effects.go
+++ b/lab/world/effects.go
@@ -6,6 +6,7 @@
 type effects struct {
 	crash        bool
 	shut         bool
+	shutCloses   bool // while it is shut, each refusal closes its connection
 	silent       bool
 	hung         bool
 	isolated     bool
@@ -99,6 +100,10 @@
 		f.shut, f.shutUntil = true, max(f.shutUntil, seconds(t.At+t.Seconds))
 	},
 
+	"shut_closing": func(f *effects, t *Fault) {
+		f.shut, f.shutCloses, f.shutUntil = true, true, max(f.shutUntil, seconds(t.At+t.Seconds))
+	},
+
 	"failing":  func(f *effects, t *Fault) { f.failing = combineShares(f.failing, t.Amount) },
 	"refusing": func(f *effects, t *Fault) { f.refusing = combineShares(f.refusing, t.Amount) },
 	"lying":    func(f *effects, t *Fault) { f.lying = combineShares(f.lying, t.Amount) },
--- a/lab/world/kinds.go
+++ b/lab/world/kinds.go
@@ -45,6 +45,7 @@
 var FaultKinds = map[string]FaultKind{
 	"crash":            {"endpoints", "", 0, 0, 0},
 	"shut":             {"endpoints", "", 0, 0, 0},
+	"shut_closing":     {"endpoints", "", 0, 0, 0},
 	"silent":           {"endpoints", "", 0, 0, 0},
 	"hung":             {"endpoints", "", 0, 0, 0},
 	"failing":          {"endpoints", "share of calls that fail", 0.6, 0, 1},
--- a/lab/world/slowstart.go
+++ b/lab/world/slowstart.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"flaxcove/choice"
@@ -58,7 +59,20 @@
 
 // overloadBound returns the load within Rules.FallS above which an endpoint in slow start goes down. It is at least 4 calls.
 func (w *World) overloadBound(e *Endpoint) float64 {
-	return max(4, w.Spec.Rules.FallMultiple*e.Rate*w.capacityShare(e)*w.Spec.Rules.FallS)
+	allowed := w.Spec.Rules.FallMultiple * e.Rate * w.capacityShare(e) * w.Spec.Rules.FallS
+	if w.Spec.Rules.FallWithSpread {
+		return boundWithSpread(allowed)
+	}
+	return max(4, allowed)
+}
+
+// boundWithSpread returns the bound of the standing test for a number of allowed calls.
+func boundWithSpread(allowed float64) float64 {
+	const fewCalls = 30
+	if allowed < fewCalls {
+		return allowed + 3*math.Sqrt(allowed) + 3
+	}
+	return allowed + 2*math.Sqrt(allowed) + 2
 }
 
 // countSlowStartLoad adds a call to the load on an endpoint in slow start, and takes the endpoint down if the load exceeds
--- a/lab/world/spec.go
+++ b/lab/world/spec.go
@@ -77,8 +77,10 @@
 	DrainGraceMS float64 `toml:"drain_grace_ms"` // calls to an endpoint that drains may leave this long after its announcement
 	FallMultiple float64 `toml:"fall_multiple"`  // load that takes an endpoint in slow start down, as a multiple of its capacity
 	FallS        float64 `toml:"fall_s"`         // period over which that load is measured
-	KeyRestMS    float64 `toml:"key_rest_ms"`    // pause of an ordering key after a call without an answer
-	LateMS       float64 `toml:"late_ms"`        // a message's end may come this long after its deadline
+	// FallWithSpread adds to that load what independent calls exceed it by through chance, as the standing test does.
+	FallWithSpread bool    `toml:"fall_with_spread"`
+	KeyRestMS      float64 `toml:"key_rest_ms"` // pause of an ordering key after a call without an answer
+	LateMS         float64 `toml:"late_ms"`     // a message's end may come this long after its deadline
 }
 
 // Prices holds the deductions from a run's figure for load that the senders put on others. A price is multiplied by the
--- a/lab/world/work.go
+++ b/lab/world/work.go
@@ -99,7 +99,8 @@
 	if w.draw("told", int64(call.No)) >= call.Conn.Endpoint.Partner.Kind.RetryAfterShare {
 		wait = 0
 	}
-	w.reply(call, Answer{Status: 503, RetryAfter: wait, Close: call.Conn.overLimit})
+	closes := call.Conn.overLimit || call.Conn.Endpoint.effects.shutCloses
+	w.reply(call, Answer{Status: 503, RetryAfter: wait, Close: closes})
 }
 
 // inRefusedBurst reports whether a fault of the kind refusing_bursts has an endpoint refuse all calls now.
