Sender: an answer by which the list is unchanged lets attempts begin

What callers would have seen: a sender whose list was current, at a discovery that begins its answer with an empty line, held all messages until the list changed.

Cause: only a list ended the wait; an empty line says that nothing has changed after the version asked for.

Change: Established says whether the first sign of life was white space; then attempts begin.

--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -58,6 +58,8 @@
 type Established struct {
 	CallAge time.Duration // since the start of the call
 	Silence time.Duration // since the last sign of life of any call; for the first watch, since the start of the watcher
+	// Unchanged says that the first sign of life is white space: nothing has changed after the version asked for.
+	Unchanged bool
 }
 
 // event is a report of a call to the watcher.
@@ -133,7 +135,7 @@
 	switch {
 	case e.kind == signOfLife:
 		if !c.established {
-			w.establish(c)
+			w.establish(c, e.list == nil)
 		}
 		w.lastSign, w.backoff = time.Now(), backoff{}
 		if e.list != nil {
@@ -170,10 +172,10 @@
 	w.stalled = append(w.stalled, c)
 }
 
-// establish makes c the watch, stops the other calls, and stops the timer of the next one.
-func (w *watcher) establish(c *call) {
+// establish makes c the watch, which says as its first sign of life whether nothing has changed, stops the other calls, and stops the timer of the next one.
+func (w *watcher) establish(c *call, unchanged bool) {
 	c.established = true
-	w.callbacks.OnEstablished(Established{CallAge: time.Since(c.startedAt), Silence: time.Since(w.lastSign)})
+	w.callbacks.OnEstablished(Established{CallAge: time.Since(c.startedAt), Silence: time.Since(w.lastSign), Unchanged: unchanged})
 	if w.newest != nil && w.newest != c {
 		w.newest.stop()
 		w.callbacks.OnFailure(errSuperseded)
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -29,7 +29,7 @@
 	}
 	onEstablished := func(e directory.Established) {
 		s.post(func() {
-			s.discoveryAnswered()
+			s.discoveryAnswered(e.Unchanged)
 			s.log.Info("discovery: watch established", zap.String("peer", addr), zap.Int64("call_age_ms", e.CallAge.Milliseconds()),
 				zap.Int64("silence_ms", e.Silence.Milliseconds()))
 		})
--- a/internal/sender/first_list.go
+++ b/internal/sender/first_list.go
@@ -4,6 +4,8 @@
 // no process ran, and they count from the first moment of the new one: by the list of the configuration a message could go
 // to an address that another destination has by now.
 //
+// An answer by which nothing has changed counts like the list.
+//
 // Nothing is held back if nothing can have been missed: the process before saw that discovery was silent, as it still is,
 // and it ran on by the same list. Nor if nobody serves the list at the address (directory.Refused): then there is no agent
 // whose list would be newer. Otherwise messages are accepted and wait, however long discovery is silent, and end at their
@@ -112,9 +114,13 @@
 	s.after(silenceRecordInterval, s.recordSilence)
 }
 
-// discoveryAnswered handles the first sign of life of a call for the list.
-func (s *Sender) discoveryAnswered() {
+// discoveryAnswered handles the first sign of life of a call for the list. If nothing has changed after the version of the list
+// in force, attempts may begin. Otherwise a list follows.
+func (s *Sender) discoveryAnswered(unchanged bool) {
 	s.discoverySilent = false
+	if unchanged {
+		s.listAwaited = false
+	}
 	if s.silenceRecorded {
 		s.silenceRecorded = false
 		s.writeSilence(silenceFile{})
--- a/internal/sender/first_list_test.go
+++ b/internal/sender/first_list_test.go
@@ -83,7 +83,7 @@
 				h.advance(row.silent)
 			}
 			if row.answered {
-				h.s.discoveryAnswered()
+				h.s.discoveryAnswered(false)
 			}
 			next := startAt(testConfig(h.dir, 100), h.clock+row.down)
 			timeout := make(chan time.Time)
@@ -95,3 +95,29 @@
 		})
 	}
 }
+
+// TestUnchangedListLetsAttemptsBegin guards against a sender that waits for ever for a list which discovery has no reason to
+// send: its first answer is an empty line, by which nothing has changed.
+func TestUnchangedListLetsAttemptsBegin(t *testing.T) {
+	received := make(chan string, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/inbox" {
+			received <- r.Header.Get("X-Request-Id")
+			return
+		}
+		out.Write([]byte("\n"))
+		out.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	cfg := testConfig(t.TempDir(), 100)
+	cfg.Listen, cfg.Discovery = "127.0.0.1:0", server.Listener.Addr().String()
+	cfg.InitialList.Entries = []directory.Entry{readyEntry("a", cfg.Discovery, 1)}
+	s, conn, done := startServing(t, cfg)
+	conn.Write([]byte(addText("id")))
+	mustReceive(t, received, "the endpoint", "id")
+	conn.Close()
+	s.Drain()
+	<-done
+}
