Sender: accepted messages, their start and their rewrite stay inside the memory limit

What callers saw: at a limit of 64 MB a sender whose endpoints hang took 161 MB by messages of 60,000 bytes that it had accepted (disk_mb 300), and 243 MB at the start after a kill, at a limit of 64 and of 32: a sender that is killed for memory is killed again at each start.

Cause: only input of clients had an account. A start read the whole file at once, copied each body twice, and kept all messages that had ended until the last record; a rewrite built the new file in memory; a request was built from copies that nothing counted.

Change: one budget, derived from limits.memory_mb, with a holder and a metric (memory_*) for each use (holders.go, package memory, which was inputbudget). New messages are answered -BUSY while their holder or the whole budget is full. Messages that have ended are forgotten during the replay as they are later. Requests that are being written hold memory; a call that finds none waits like one for a socket.

--- a/cmd/flaxcove/memory_test.go
+++ b/cmd/flaxcove/memory_test.go
@@ -6,8 +6,6 @@
 	"io"
 	"net"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,10 +21,7 @@
 // TestMemoryOfClientInput guards against senders that are killed for memory because clients send faster than their commands
 // are handled: however many clients do so, the process stays below its memory limit and answers another client.
 func TestMemoryOfClientInput(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "flaxcove") // without the race detector, which takes memory itself
-	if out, err := exec.Command("go", "build", "-buildvcs=false", "-o", binary, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	binary := buildProgram(t)
 	for _, row := range []struct {
 		name              string
 		clients, commands int
@@ -37,45 +32,22 @@
 		{"many clients leave a long command incomplete", 200, 1, false},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			listen, pid := startSmallSender(t, binary)
-			peak := watchMemory(t, pid)
+			s := limitedSender{memoryMB: memoryLimitMB, sockets: 512, diskMB: 3, callsOut: 4, endpoint: "127.0.0.1:1", state: t.TempDir()}.start(t, binary)
 			var clients sync.WaitGroup
 			for i := range row.clients {
-				clients.Go(func() { sendCommands(listen, i, row.commands, row.complete) })
+				clients.Go(func() { sendCommands(s.listen, i, row.commands, row.complete) })
 			}
 			for range 20 {
-				if text, err := sendCommand(listen, "PING"); err != nil || text != "PONG" {
+				if text, err := sendCommand(s.listen, "PING"); err != nil || text != "PONG" {
 					t.Errorf("another client is answered %q, %v", text, err)
 				}
 			}
 			clients.Wait()
-			if mb := peak(); mb > memoryLimitMB || mb == 0 {
-				t.Errorf("the process took %.0f MB, its limit is %d MB", mb, memoryLimitMB)
-			}
+			s.expectMemoryWithin(t, memoryLimitMB)
 		})
 	}
 }
 
-// startSmallSender starts the program with memoryLimitMB and returns its address and process id.
-func startSmallSender(t *testing.T, binary string) (listen string, pid int) {
-	t.Helper()
-	listen = freeAddr(t)
-	configFile := filepath.Join(t.TempDir(), "config.json")
-	writeFile(t, configFile, fmt.Sprintf(`{"name":"s","listen":%q,"discovery":"127.0.0.1:1","state":%q,
-"limits":{"memory_mb":%d,"sockets":512,"disk_mb":3},
-"known":{"version":1,"full":true,"servers":[{"id":"e","addr":"127.0.0.1:1","zone":"z","kind":"k","cell":1,"state":"up","weight":1}]},
-"settings":{"machineTypes":["k"],"zones":["z"],"classes":[{"name":"a","idempotency":"pure","deadline":6000000000}],
-"extra":{"callsOut":4}}}`, listen, t.TempDir(), memoryLimitMB))
-	program := exec.Command(binary, "serve")
-	program.Env = append(os.Environ(), "EDGE_CONFIG="+configFile)
-	startProgram(t, program)
-	eventually(t, "the sender answers PING", func() bool {
-		text, err := sendCommand(listen, "PING")
-		return err == nil && text == "PONG"
-	})
-	return listen, program.Process.Pid
-}
-
 // watchMemory reads the anonymous memory of a process again and again. peak ends this and returns the highest value, in MB.
 func watchMemory(t *testing.T, pid int) (peak func() float64) {
 	t.Helper()
@@ -131,7 +103,7 @@
 		}
 	}()
 	for i := range commands {
-		text := fmt.Sprintf("*5\r\n$7\r\nOUT.ADD\r\n$1\r\n0\r\n$12\r\nid%04d%06d\r\n$17\r\nc=a,d=6000,dest=1\r\n$%d\r\n%s\r\n", client, i, bulkBody, body)
+		text := addCommandText(fmt.Sprintf("id%04d%06d", client, i), messageDeadlineMS, body)
 		if !complete && i == commands-1 {
 			text = text[:len(text)-1]
 		}
@@ -142,3 +114,46 @@
 	out.Flush()
 	<-answered
 }
+
+// TestMemoryOfAcceptedMessages guards against senders that are killed for memory because they have accepted more than memory
+// holds, and again at each start after that: the process stays below its limit while endpoints hang, at a start on the full
+// folder with a lower limit, and while it delivers. No accepted message is lost or altered.
+func TestMemoryOfAcceptedMessages(t *testing.T) {
+	binary := buildProgram(t)
+	const clients, commands, lowerLimitMB = 100, 40, 32
+	hang := make(chan struct{})
+	e := startEndpoint(t, "127.0.0.1:0", 0, hang)
+	l := limitedSender{memoryMB: memoryLimitMB, sockets: 512, diskMB: 300, callsOut: 15, endpoint: e.addr, state: t.TempDir()}
+	s := l.start(t, binary)
+	var all sync.WaitGroup
+	for i := range clients {
+		all.Go(func() { sendCommands(s.listen, i, commands, true) })
+	}
+	all.Wait()
+	accepted := s.counter("taken_on")
+	s.expectMemoryWithin(t, memoryLimitMB)
+	s.kill()
+	t.Logf("%d messages of %d bytes accepted", accepted, bulkBody)
+	if accepted < 100 {
+		t.Fatalf("only %d messages accepted", accepted)
+	}
+	l.memoryMB = lowerLimitMB
+	s = l.start(t, binary)
+	if owed := s.counter("owed"); owed != accepted {
+		t.Errorf("%d messages owed after a start, %d were accepted", owed, accepted)
+	}
+	close(hang)
+	eventually(t, "all messages are delivered", func() bool { return s.counter("owed") == 0 })
+	s.expectMemoryWithin(t, lowerLimitMB)
+	want := strings.Repeat("x", bulkBody)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, body := range e.bodies {
+		if body != want {
+			t.Fatalf("message %s was delivered with %d bytes, not as it was accepted", id, len(body))
+		}
+	}
+	if len(e.bodies) < accepted {
+		t.Errorf("%d messages were delivered, %d were accepted", len(e.bodies), accepted)
+	}
+}
--- a/internal/journal/capacity_test.go
+++ b/internal/journal/capacity_test.go
@@ -19,7 +19,7 @@
 // capacityRecords writes a journal with n records and returns its folder.
 func capacityRecords(b *testing.B, n int) string {
 	dir := b.TempDir()
-	j, _, err := Open(dir, capacityLimit, func([]byte) {})
+	j, _, err := Open(dir, capacityLimit, func([]byte, int64) {})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -47,7 +47,7 @@
 		var size int64
 		for b.Loop() {
 			read := 0
-			j, _, err := Open(dir, capacityLimit, func(record []byte) { read += len(record) })
+			j, _, err := Open(dir, capacityLimit, func(record []byte, _ int64) { read += len(record) })
 			if err != nil || read != n*capacityRecord {
 				b.Fatal(read, err)
 			}
@@ -56,7 +56,7 @@
 		}
 		b.ReportMetric(float64(size), "disk-B")
 		b.ReportMetric(bench.Allocated(func() {
-			j, _, err := Open(dir, capacityLimit, func([]byte) {})
+			j, _, err := Open(dir, capacityLimit, func([]byte, int64) {})
 			if err != nil {
 				b.Fatal(err)
 			}
@@ -68,15 +68,16 @@
 // BenchmarkCapacityRewrite rewrites the whole file, as a sender does when the file is near its limit.
 func BenchmarkCapacityRewrite(b *testing.B) {
 	bench.Sizes(b, "records", capacityRecordCounts, func(b *testing.B, n int) {
-		j, _, err := Open(capacityRecords(b, n), capacityLimit, func([]byte) {})
+		j, _, err := Open(capacityRecords(b, n), capacityLimit, func([]byte, int64) {})
 		if err != nil {
 			b.Fatal(err)
 		}
 		record := bytes.Repeat([]byte{'x'}, capacityRecord)
-		all := func(add func([]byte)) {
+		all := func(add func([]byte) int64) error {
 			for range n {
 				add(record)
 			}
+			return nil
 		}
 		for b.Loop() {
 			if err := j.Rewrite(all); err != nil {
@@ -95,7 +96,7 @@
 // BenchmarkCapacityAppend measures the flush of one tick by the number of records in it.
 func BenchmarkCapacityAppend(b *testing.B) {
 	bench.Sizes(b, "records", []int{1, 10, 100, 1000}, func(b *testing.B, n int) {
-		j, _, err := Open(b.TempDir(), capacityLimit, func([]byte) {})
+		j, _, err := Open(b.TempDir(), capacityLimit, func([]byte, int64) {})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -2,11 +2,11 @@
 //
 // It defines the format of the file, and it bounds and rewrites the file; it does not interpret the records. A file that
 // a killed process left behind can always be opened: an incomplete record at its end is dropped. A rewrite never makes
-// the files exceed the limit and never replaces a valid file by an incomplete one.
+// the files exceed the limit and never replaces a valid file by an incomplete one. Neither an open nor a rewrite holds
+// more than one record of the file in memory (replay.go, rewrite.go).
 package journal
 
 import (
-	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -44,9 +44,9 @@
 }
 
 // Open opens the file in dir and creates it, and dir, if they do not exist. It calls replay with each valid record, in
-// order; the records are slices of one buffer with the whole file. Open cuts the file off at the first damaged or
-// incomplete record and returns the number of dropped bytes. limit is in bytes.
-func Open(dir string, limit int64, replay func(record []byte)) (j *Journal, dropped int64, err error) {
+// order, and with the position of the record in the file; the record is valid only during the call. Open cuts the file off
+// at the first damaged or incomplete record and returns the number of dropped bytes. limit is in bytes.
+func Open(dir string, limit int64, replay func(record []byte, at int64)) (j *Journal, dropped int64, err error) {
 	j = &Journal{dir: dir, limit: limit}
 	dropped, err = j.open(replay)
 	if err != nil {
@@ -55,14 +55,14 @@
 	if j.size == 0 {
 		j.batch = append(j.batch, magic...)
 		if err := j.Flush(); err != nil {
-			return nil, 0, err
+			return nil, 0, errors.Join(err, j.file.Close())
 		}
 	}
 	return j, dropped, nil
 }
 
 // open replays the file and opens it for writing after the last valid record.
-func (j *Journal) open(replay func(record []byte)) (dropped int64, err error) {
+func (j *Journal) open(replay func(record []byte, at int64)) (dropped int64, err error) {
 	if err := os.MkdirAll(j.dir, folderMode); err != nil {
 		return 0, err
 	}
@@ -71,53 +71,18 @@
 	if err := os.Remove(j.path(rewriteFile)); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return 0, err
 	}
-	data, err := os.ReadFile(j.path(currentFile))
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return 0, err
-	}
-	j.size = replayAll(data, replay)
 	if j.file, err = os.OpenFile(j.path(currentFile), os.O_RDWR|os.O_CREATE, fileMode); err != nil {
 		return 0, err
 	}
-	if err := j.file.Truncate(j.size); err != nil {
-		return 0, err
-	}
-	return int64(len(data)) - j.size, nil
-}
-
-// replayAll calls replay with each record of a file up to the first damaged or incomplete one, and returns the size in
-// bytes of the valid part. Without the magic text at the start no part is valid.
-func replayAll(data []byte, replay func(record []byte)) (good int64) {
-	if !bytes.HasPrefix(data, []byte(magic)) {
-		return 0
+	if dropped, err = j.replayFile(replay); err != nil {
+		return 0, errors.Join(err, j.file.Close())
 	}
-	rest := data[len(magic):]
-	for record := firstRecord(rest); record != nil; record = firstRecord(rest) {
-		replay(record)
-		rest = rest[frameHeadSize+len(record):]
-	}
-	return int64(len(data) - len(rest))
+	return dropped, nil
 }
 
 // path returns the path of a file in the folder of the journal.
 func (j *Journal) path(name string) string { return filepath.Join(j.dir, name) }
 
-// firstRecord returns the record at the start of data, or nil if it is incomplete or damaged.
-func firstRecord(data []byte) []byte {
-	if len(data) < frameHeadSize {
-		return nil
-	}
-	n := binary.LittleEndian.Uint32(data)
-	if n == 0 || n > maxRecord || int(n) > len(data)-frameHeadSize {
-		return nil
-	}
-	record := data[frameHeadSize : frameHeadSize+int(n)]
-	if crc32.Checksum(record, checksumTable) != binary.LittleEndian.Uint32(data[checksumAt:]) {
-		return nil
-	}
-	return record
-}
-
 // appendFrame appends a record with its length and checksum to out.
 func appendFrame(out, record []byte) []byte {
 	out = binary.LittleEndian.AppendUint32(out, uint32(len(record)))
@@ -137,8 +102,25 @@
 // inBlocks returns the size of a file rounded up to whole blocks, in bytes.
 func inBlocks(size int64) int64 { return (size + blockSize - 1) / blockSize * blockSize }
 
-// Add adds a record, which the next Flush writes. It copies the record.
-func (j *Journal) Add(record []byte) { j.batch = appendFrame(j.batch, record) }
+// Buffered returns the size in bytes of the memory that holds the records added since the last Flush.
+func (j *Journal) Buffered() int64 { return int64(cap(j.batch)) }
+
+// Add adds a record, which the next Flush writes. It copies the record, and returns its position in the file. A Rewrite
+// gives records other positions.
+func (j *Journal) Add(record []byte) (at int64) {
+	at = j.Size() + frameHeadSize
+	j.batch = appendFrame(j.batch, record)
+	return at
+}
+
+// ReadAt fills part with bytes of the file from a position on. Records that were added since the last Flush are not in the
+// file yet.
+func (j *Journal) ReadAt(part []byte, at int64) error {
+	if _, err := j.file.ReadAt(part, at); err != nil {
+		return fmt.Errorf("journal: %d bytes at %d: %w", len(part), at, err)
+	}
+	return nil
+}
 
 // Flush writes all added records with a single write. It does not sync: data that the operating system has accepted
 // outlives the process. After an error the records remain to be written by the next Flush.
@@ -158,31 +140,6 @@
 	return nil
 }
 
-// Rewrite replaces the file by one that holds only the records that all passes to add. They must include the records
-// added since the last Flush, which are otherwise lost. Both files exist for a while and count against the limit; if
-// they would exceed it, Rewrite returns ErrFull. After an error the old file and the records to be flushed are
-// unchanged.
-func (j *Journal) Rewrite(all func(add func(record []byte))) error {
-	fresh := []byte(magic)
-	all(func(record []byte) { fresh = appendFrame(fresh, record) })
-	if inBlocks(int64(len(fresh)))+inBlocks(j.size) > j.limit {
-		return ErrFull
-	}
-	if err := os.WriteFile(j.path(rewriteFile), fresh, fileMode); err != nil {
-		return errors.Join(fmt.Errorf("journal: %w", err), os.Remove(j.path(rewriteFile)))
-	}
-	if err := os.Rename(j.path(rewriteFile), j.path(currentFile)); err != nil {
-		return fmt.Errorf("journal: %w", err)
-	}
-	file, err := os.OpenFile(j.path(currentFile), os.O_RDWR, fileMode)
-	if err != nil {
-		return fmt.Errorf("journal: %w", err)
-	}
-	j.file.Close()
-	j.file, j.size, j.batch = file, int64(len(fresh)), j.batch[:0]
-	return nil
-}
-
 // Put atomically replaces the small file name in the folder of the journal. The file does not count against the limit;
 // the caller must bound its size.
 func (j *Journal) Put(name string, data []byte) error {
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -11,7 +11,7 @@
 
 // open opens the journal in dir, prints an error, and returns the records in the file.
 func open(dir string, limit int64) (j *Journal, records []string, dropped int64) {
-	j, dropped, err := Open(dir, limit, func(r []byte) { records = append(records, string(r)) })
+	j, dropped, err := Open(dir, limit, func(r []byte, _ int64) { records = append(records, string(r)) })
 	if err != nil {
 		fmt.Println(err)
 	}
@@ -68,9 +68,9 @@
 	for range 40 {
 		j.Add([]byte("a record of some length"))
 	}
-	fmt.Println(j.Flush(), j.Size(), j.Rewrite(func(add func([]byte)) { add(make([]byte, 600)) }))
+	fmt.Println(j.Flush(), j.Size(), j.Rewrite(func(add func([]byte) int64) error { add(make([]byte, 600)); return nil }))
 	j.Add([]byte("added since the last Flush"))
-	fmt.Println(j.Rewrite(func(add func([]byte)) { add([]byte("kept")) }), j.Size())
+	fmt.Println(j.Rewrite(func(add func([]byte) int64) error { add([]byte("kept")); return nil }), j.Size())
 	j.Add([]byte("later"))
 	j.Close()
 	os.WriteFile(filepath.Join(dir, "notices.new"), []byte("half"), 0o600)
@@ -93,7 +93,7 @@
 			t.Fatal(err)
 		}
 		var first, second int
-		j, _, err := Open(dir, 1<<20, func([]byte) { first++ })
+		j, _, err := Open(dir, 1<<20, func([]byte, int64) { first++ })
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -101,7 +101,7 @@
 		if err := errors.Join(j.Close()); err != nil {
 			t.Fatal(err)
 		}
-		if _, _, err = Open(dir, 1<<20, func([]byte) { second++ }); err != nil || second != first+1 {
+		if _, _, err = Open(dir, 1<<20, func([]byte, int64) { second++ }); err != nil || second != first+1 {
 			t.Fatalf("%d records, then %d, %v", first, second, err)
 		}
 	})
--- a/internal/journal/storeddata_test.go
+++ b/internal/journal/storeddata_test.go
@@ -26,7 +26,7 @@
 // readRecords opens a journal, reads all its records and closes it.
 func readRecords(t *testing.T, dir string) (records [][]byte, dropped int64) {
 	t.Helper()
-	j, dropped, err := journal.Open(dir, storedLimit, func(record []byte) { records = append(records, bytes.Clone(record)) })
+	j, dropped, err := journal.Open(dir, storedLimit, func(record []byte, _ int64) { records = append(records, bytes.Clone(record)) })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -72,7 +72,7 @@
 // downgrade.
 func TestWritesStoredJournal(t *testing.T) {
 	dir := t.TempDir()
-	j, _, err := journal.Open(dir, storedLimit, func([]byte) {})
+	j, _, err := journal.Open(dir, storedLimit, func([]byte, int64) {})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sender/acceptance_test.go
+++ b/internal/sender/acceptance_test.go
@@ -48,7 +48,7 @@
 		t.Fatal(err)
 	}
 	prefix := string(idRecord(recAccepted, id))
-	j, _, err := journal.Open(dir, 1<<20, func(record []byte) {
+	j, _, err := journal.Open(dir, 1<<20, func(record []byte, _ int64) {
 		is = is || len(record) >= len(prefix) && string(record[:len(prefix)]) == prefix
 	})
 	if err != nil {
--- a/internal/sender/admission.go
+++ b/internal/sender/admission.go
@@ -89,7 +89,7 @@
 	for _, m := range s.admitted {
 		if m.reply != nil && !m.journaled {
 			m.journaled = true
-			s.journal.Add(m.acceptedRecord())
+			s.addAccepted(m)
 			s.accepted = append(s.accepted, m)
 			s.liveBytes += m.size + maxLaterRecordBytes
 		}
@@ -130,15 +130,20 @@
 
 // writeJournal appends the added records to the journal's file, or rewrites the file if it is larger than rewriteThreshold.
 func (s *Sender) writeJournal() error {
-	if len(s.accepted) > 2*len(s.pending)+maxEndedInAccepted { // with a large limit, rewrites are too rare to rely on
-		s.accepted = withoutEnded(s.accepted)
-	}
+	s.forgetClosed()
 	if s.journal.Size() <= int64(rewriteThreshold*float64(s.journal.Limit())) {
 		return s.journal.Flush()
 	}
 	s.accepted = withoutEnded(s.accepted)
 	s.counts.rewrites++
-	return s.journal.Rewrite(s.records)
+	return s.rewriteJournal()
+}
+
+// forgetClosed removes closed messages from accepted if it holds many. With a large limit, rewrites are too rare to rely on.
+func (s *Sender) forgetClosed() {
+	if len(s.accepted) > 2*len(s.pending)+maxEndedInAccepted {
+		s.accepted = withoutEnded(s.accepted)
+	}
 }
 
 // withoutEnded removes closed messages from order in place and returns the shortened list.
@@ -162,6 +167,7 @@
 			r := m.reply
 			m.reply = nil
 			s.setReply(r, resp.AppendSimple(nil, "OK"))
+			s.keepOrDropBody(m)
 		}
 	}
 	clear(s.admitted)
--- a/internal/sender/bundle_test.go
+++ b/internal/sender/bundle_test.go
@@ -13,7 +13,7 @@
 func Example_bulkCall() {
 	h := start("", 100).submit("OUT.ADD 0a o1 c=order,d=20000,dest=2 x", "OUT.ADD 0b o2 c=order,d=20000,dest=2 x",
 		"OUT.ADD 0c o3 c=order,d=20000,dest=2 x")
-	_, body := h.s.request(h.calls[0])
+	_, body, _ := h.s.request(h.calls[0])
 	fmt.Println(string(body))
 	h.endpointAnswers("HTTP/1.1 200 OK\nContent-Length: 58\n\n" + `[{"id":"o1","state":"ok"},  {"id":"o2","state":"later"}]   `)
 	h.advance(5 * time.Millisecond).printPending()
--- a/internal/sender/capacity_test.go
+++ b/internal/sender/capacity_test.go
@@ -144,7 +144,7 @@
 	bench.Sizes(b, "open", capacityOpenSizes, func(b *testing.B, n int) {
 		h := filledHarness(b, n)
 		for b.Loop() {
-			if err := h.s.journal.Rewrite(h.s.records); err != nil {
+			if err := h.s.rewriteJournal(); err != nil {
 				b.Fatal(err)
 			}
 		}
--- a/internal/sender/client_input.go
+++ b/internal/sender/client_input.go
@@ -177,12 +177,12 @@
 // them; if not, the client holds none. Only the reader calls it, and the loop once the reader no longer runs.
 func (c *client) setUnparsed(bytes int64) bool {
 	more := bytes - c.unparsed
-	if more > 0 && !c.account.Take(more) {
+	if more > 0 && !c.inputAccount.Take(more) {
 		c.setUnparsed(0)
 		return false
 	}
 	if more < 0 {
-		c.account.Release(-more)
+		c.inputAccount.Release(-more)
 	}
 	c.unparsed = bytes
 	return true
--- a/internal/sender/client_queue.go
+++ b/internal/sender/client_queue.go
@@ -41,11 +41,11 @@
 // reports whether the reader goes on.
 func (s *Sender) queueCommand(c *client, text []byte) bool {
 	charge := int64(len(text)) + commandOverhead
-	if c.queueFull() || !c.account.Take(charge) {
+	if c.queueFull() || !c.inputAccount.Take(charge) {
 		return s.queueDropped(c)
 	}
 	if !s.countCommand(c) {
-		c.account.Release(charge)
+		c.inputAccount.Release(charge)
 		return false
 	}
 	args, _, _ := resp.Command(append([]byte(nil), text...), nil) // a copy, because the reader's buffer is reused
@@ -107,7 +107,7 @@
 			s.handleCommand(c, command.args)
 		}
 		if command.charge > 0 {
-			c.account.Release(command.charge)
+			c.inputAccount.Release(command.charge)
 		}
 	}
 }
--- a/internal/sender/clients.go
+++ b/internal/sender/clients.go
@@ -13,7 +13,7 @@
 	"flaxcove/choice"
 	"flaxcove/internal/config"
 	"flaxcove/internal/resp"
-	"flaxcove/internal/sender/inputbudget"
+	"flaxcove/internal/sender/memory"
 )
 
 const (
@@ -24,9 +24,6 @@
 	firstInputTimeout = 200 * time.Millisecond
 	// minIdleTime is how long a served client may stay idle after its last answer before it may be closed for being idle.
 	minIdleTime = 2 * time.Second
-	// inputMemoryDivisor is the reciprocal of the share of the memory limit that input of clients may take. Copies of it, and
-	// what the garbage collector has not freed yet, take several times as much.
-	inputMemoryDivisor = 8
 )
 
 // These are the reasons for the end of a client connection, as the log reports them.
@@ -40,12 +37,11 @@
 	silentClient   reason = "said_nothing"
 )
 
-// clientFrontend is the part of a Sender that serves clients. Its fields do their own locking, except for listener and
-// inputBudget, which are set before clients are served.
+// clientFrontend is the part of a Sender that serves clients. The table does its own locking; listener is set before clients
+// are served.
 type clientFrontend struct {
-	clients     clientTable
-	listener    netpoll.Listener
-	inputBudget *inputbudget.Budget // memory for incomplete commands and for commands that are queued for the loop
+	clients  clientTable
+	listener netpoll.Listener
 }
 
 // clientTable holds the connected clients. A client is removed when its connection has ended. The loop and netpoll's poller
@@ -84,7 +80,8 @@
 	lingeringSince   time.Duration // time on the sender's clock
 	lingerReason     reason
 
-	account *inputbudget.Account // the client's part of clientFrontend.inputBudget
+	inputAccount  *memory.Account // the client's part of holders.input
+	outputAccount *memory.Account // the client's part of holders.output
 
 	// queueLock guards this group of fields. No other lock is taken under it.
 	queueLock      sync.Mutex
@@ -128,7 +125,6 @@
 	f.clients.maxServed = f.clients.maxConns - max(1, f.clients.maxConns/8)
 	f.clients.setBusyReply(&cfg.Settings)
 	f.clients.idleCloseThreshold = cfg.Limits.Sockets / 4
-	f.inputBudget = inputbudget.New(cfg.Limits.MemoryMB << 20 / inputMemoryDivisor)
 }
 
 // setBusyReply sets the answer to rejected clients. It asks them to wait for the longest retry time in the settings.
--- a/internal/sender/command.go
+++ b/internal/sender/command.go
@@ -51,7 +51,7 @@
 	if s.answerResubmission(r, m.ID) || !s.checkDestination(r, m.Destination) {
 		return
 	}
-	if len(s.pending) >= s.cfg.Settings.MaxOpen || !s.hasJournalCapacity(m) || s.journalFailing || s.pastSendTime() {
+	if len(s.pending) >= s.cfg.Settings.MaxOpen || !s.hasJournalCapacity(m) || s.journalFailing || s.pastSendTime() || !s.takeMessage(m) {
 		s.answerBusy(r, s.longestReturnMS())
 		return
 	}
--- a/internal/sender/connecting_test.go
+++ b/internal/sender/connecting_test.go
@@ -153,7 +153,7 @@
 	if os.WriteFile(filepath.Join(dir, "notices.log"), text, 0o600) != nil {
 		return false
 	}
-	j, _, err := journal.Open(dir, 1<<20, func(record []byte) {
+	j, _, err := journal.Open(dir, 1<<20, func(record []byte, _ int64) {
 		found = found || record[0] == recAttempt && strings.HasPrefix(string(record), string(idRecord(recAttempt, choice.MessageID(id))))
 	})
 	if err == nil {
--- a/internal/sender/counters.go
+++ b/internal/sender/counters.go
@@ -31,7 +31,7 @@
 
 // Counters returns the lines of INFO, each in the form name:value. It is called on the loop.
 func (s *Sender) Counters() (lines []string) {
-	for _, c := range slices.Concat(s.messageCounters(), s.callCounters(), s.stateCounters(), s.gossipCounters(), s.clusterCounters()) {
+	for _, c := range slices.Concat(s.messageCounters(), s.callCounters(), s.stateCounters(), s.memoryCounters(), s.gossipCounters(), s.clusterCounters()) {
 		lines = append(lines, fmt.Sprintf("%s:%d", c.name, c.value))
 	}
 	return lines
--- a/internal/sender/earlier_process_test.go
+++ b/internal/sender/earlier_process_test.go
@@ -50,7 +50,7 @@
 // writeJournal writes the journal of an earlier process.
 func writeJournal(t *testing.T, dir string, records ...[]byte) {
 	t.Helper()
-	j, _, err := journal.Open(dir, 1<<20, func([]byte) {})
+	j, _, err := journal.Open(dir, 1<<20, func([]byte, int64) {})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sender/harness_test.go
+++ b/internal/sender/harness_test.go
@@ -192,7 +192,7 @@
 	}
 	for _, c := range h.calls {
 		if !c.done {
-			head, _ := h.s.request(c)
+			head, _, _ := h.s.request(c)
 			fmt.Printf("call %s: %s\n", c.endpoint.id, strings.Split(string(head), " HTTP")[0])
 			for _, m := range c.messages {
 				fmt.Println("  ", m.ID)
--- a/internal/sender/keys_test.go
+++ b/internal/sender/keys_test.go
@@ -37,7 +37,7 @@
 	}
 	check(h)
 	for _, c := range h.calls {
-		head, body := h.s.request(c)
+		head, body, _ := h.s.request(c)
 		mustContain := func(text, part string) {
 			t.Helper()
 			if !strings.Contains(text, part) {
@@ -67,7 +67,7 @@
 	h := start("", 100)
 	defer os.RemoveAll(h.dir)
 	h.submit("OUT.ADD 0 long c=order,d=20000,dest=2 x", "OUT.ADD 0 middle c=order,d=9000,dest=2 x", "OUT.ADD 0 short c=order,d=5000,dest=2 x")
-	_, body := h.s.request(h.calls[0])
+	_, body, _ := h.s.request(h.calls[0])
 	at := func(id string) int { return strings.Index(string(body), `"id":"`+id) }
 	if len(h.calls[0].messages) != 3 || at("long") < 0 || at("long") > at("middle") || at("middle") > at("short") {
 		t.Errorf("messages are missing or not in order of deadline, latest first: %s", body)
--- a/internal/sender/message.go
+++ b/internal/sender/message.go
@@ -17,7 +17,10 @@
 	// the id of the message is.
 	idempotencyKey, tenant string
 	className              string
-	body                   []byte
+	body                   []byte      // nil if it is only in the journal; see bodies.go
+	stored                 storedBody  // where the body is in the journal
+	charged                int64       // bytes that the body holds of holders.bodies
+	accounted              bool        // the message holds messageOverhead of holders.messages
 	reply                  *reply      // the client's reply; nil once it is set
 	journaled              bool        // the accepted record is written, or added to the next append
 	attempts               int         // attempts of this process
@@ -63,7 +66,8 @@
 		s.journal.Add(idRecord(recClosed, m.ID))
 		s.liveBytes -= m.size + maxLaterRecordBytes
 	}
-	m.body = nil
+	s.dropBody(m)
+	s.releaseMessage(m)
 }
 
 // endMessage ends a message that was not delivered. If the client still waits for its answer, the answer says so and the
--- a/internal/sender/misbehaving_clients_test.go
+++ b/internal/sender/misbehaving_clients_test.go
@@ -20,7 +20,7 @@
 	t.Run("idle", func(t *testing.T) { checkIdleClients(t, dial) })
 	s.Drain()
 	<-done
-	if n := s.inputBudget.Held(); n != 0 {
+	if n := s.holders.input.Held(); n != 0 {
 		t.Errorf("the input budget holds %d bytes after all clients have gone", n)
 	}
 }
--- a/internal/sender/purge_test.go
+++ b/internal/sender/purge_test.go
@@ -197,7 +197,7 @@
 	}
 	rewrite := func() {
 		h.s.accepted = withoutEnded(h.s.accepted)
-		h.s.journal.Rewrite(h.s.records)
+		h.s.rewriteJournal()
 	}
 	restart(2 * time.Minute)
 	fmt.Println("applied:", h.s.Orders().LastAppliedSeq(), "same time of acceptance:", h.s.pending["new"].acceptedAt == acceptedAt)
--- a/internal/sender/ready_test.go
+++ b/internal/sender/ready_test.go
@@ -25,7 +25,7 @@
 // are pending. With inFlight each pending message has an attempt on record. It returns the number of pending messages.
 func writeFullJournal(t *testing.T, dir string, limit int64, bodySize int, make func(i int) *message, inFlight bool) (pending int) {
 	t.Helper()
-	j, _, err := journal.Open(dir, limit, func([]byte) {})
+	j, _, err := journal.Open(dir, limit, func([]byte, int64) {})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sender/records.go
+++ b/internal/sender/records.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"flaxcove/choice"
 )
@@ -28,16 +29,25 @@
 // idRecord returns a record that holds only a message's id. Longer records start with it.
 func idRecord(kind byte, id choice.MessageID) []byte { return appendString([]byte{kind}, string(id)) }
 
-// acceptedRecord returns the message's record of the kind recAccepted.
+// acceptedRecord returns the message's record of the kind recAccepted. The body must be in memory.
 func (m *message) acceptedRecord() []byte {
+	return slices.Concat(m.acceptedHead(), m.body, m.acceptedTail())
+}
+
+// acceptedHead returns the part of the accepted record before the body.
+func (m *message) acceptedHead() []byte {
 	out := idRecord(recAccepted, m.ID)
 	out = appendString(out, m.key)
 	out = appendString(out, m.className)
 	out = binary.AppendVarint(out, int64(m.Deadline))
 	out = binary.AppendVarint(out, int64(m.Destination))
-	out = appendString(out, string(m.body))
+	return binary.AppendUvarint(out, uint64(m.bodySize()))
+}
+
+// acceptedTail returns the part of the accepted record after the body.
+func (m *message) acceptedTail() (out []byte) {
 	if m.acceptedAt == 0 {
-		return out // the oldest versions wrote records that end here
+		return nil // the oldest versions wrote records that end here
 	}
 	out = binary.AppendVarint(out, int64(m.Deadline-m.acceptedAt))
 	if m.idempotencyKey == "" && m.tenant == "" {
@@ -63,19 +73,8 @@
 // clockRecord returns a record that the wall clock was put back; back says by how much.
 func clockRecord(back choice.Time) []byte { return binary.AppendVarint([]byte{recClock}, int64(back)) }
 
-// records passes to add all records that a rewritten journal holds.
-func (s *Sender) records(add func([]byte)) {
-	for _, m := range s.accepted {
-		m.records(add)
-	}
-	for _, p := range s.lastApplied {
-		add(p.record())
-	}
-}
-
-// records passes to add the records of a message that a rewritten journal holds.
-func (m *message) records(add func([]byte)) {
-	add(m.acceptedRecord())
+// laterRecords passes to add the records, after its accepted record, of a message that a rewritten journal holds.
+func (m *message) laterRecords(add func([]byte) int64) {
 	if m.attemptOnRecord && m.MayRun {
 		add(attemptRecord(m.ID, m.RanAt, m.RanIn, m.ranInZoneName))
 	} else if m.attemptOnRecord && m.inFlight != nil {
@@ -95,13 +94,16 @@
 }
 
 // readString reads a string with its length.
-func (r *recordReader) readString() string {
+func (r *recordReader) readString() string { return string(r.readBytes()) }
+
+// readBytes reads a string with its length, and returns it as a part of the record.
+func (r *recordReader) readBytes() []byte {
 	n, used := binary.Uvarint(r.rest)
 	if used <= 0 || n > uint64(len(r.rest)-used) {
 		r.invalid = true
-		return ""
+		return nil
 	}
-	text := string(r.rest[used : used+int(n)])
+	text := r.rest[used : used+int(n)]
 	r.rest = r.rest[used+int(n):]
 	return text
 }
--- a/internal/sender/replay.go
+++ b/internal/sender/replay.go
@@ -25,6 +25,9 @@
 	}
 	s.journal = j
 	s.accepted = withoutEnded(s.accepted)
+	for _, m := range s.accepted {
+		s.addMessageMemory(m)
+	}
 	if back := s.latestRecorded - s.Now(); back > 0 {
 		s.log.Warn("the wall clock was put back; the times in the journal records are shifted back", zap.Float64("seconds", float64(back)/float64(choice.Second)))
 		s.shiftBack(back)
@@ -82,7 +85,7 @@
 }
 
 // replayRecord applies one record of the journal. It ignores a record that cannot be read or that names an unknown id.
-func (s *Sender) replayRecord(record []byte) {
+func (s *Sender) replayRecord(record []byte, at int64) {
 	r := recordReader{rest: record[1:]}
 	switch kind := record[0]; kind {
 	case recPurge:
@@ -95,7 +98,7 @@
 		id := choice.MessageID(r.readString())
 		m := s.pending[id]
 		if kind == recAccepted && m == nil {
-			s.replayAccepted(id, &r, len(record))
+			s.replayAccepted(id, &r, len(record), at)
 		} else if m != nil && !r.invalid {
 			s.replayLater(kind, m, &r)
 		}
@@ -110,12 +113,14 @@
 	}
 }
 
-// replayAccepted makes a message pending from its accepted record, which has the given size in bytes.
-func (s *Sender) replayAccepted(id choice.MessageID, r *recordReader, bytes int) {
+// replayAccepted makes a message pending from its accepted record, which has the given size in bytes and the given position
+// in the file. The body stays in the file.
+func (s *Sender) replayAccepted(id choice.MessageID, r *recordReader, bytes int, at int64) {
 	m := &message{journaled: true, size: journal.FramedSize(bytes)}
 	m.ID, m.key, m.className = id, r.readString(), r.readString()
 	m.Deadline, m.Destination = choice.Time(r.readNumber()), choice.DestinationID(r.readNumber())
-	m.body = []byte(r.readString())
+	body := r.readBytes()
+	m.stored = storedBody{at: at + int64(bytes-len(r.rest)-len(body)), size: len(body)}
 	if !r.invalid && len(r.rest) > 0 { // the oldest records end here
 		m.acceptedAt = m.Deadline - choice.Time(r.readNumber())
 		if len(r.rest) > 0 { // records of messages without idempotency key and tenant end here
@@ -131,6 +136,7 @@
 	s.latestRecorded = max(s.latestRecorded, m.acceptedAt)
 	s.pending[id] = m
 	s.accepted = append(s.accepted, m)
+	s.forgetClosed()
 }
 
 // replayLater applies a record of a message that is pending already.
--- a/internal/sender/request.go
+++ b/internal/sender/request.go
@@ -18,15 +18,24 @@
 	bulkPath   = "/inbox/bulk"
 )
 
-// request returns the HTTP request of a call: a single request for one message, a bulk request for several, or a probe.
-func (s *Sender) request(c *call) (head, body []byte) {
+// request returns the HTTP request of a call: a single request for one message, a bulk request for several, or a probe. It
+// fails if the journal cannot be read.
+func (s *Sender) request(c *call) (head, body []byte, err error) {
 	switch {
 	case c.probe:
-		return http1.AppendRequest(nil, "GET", probePath, c.endpoint.addr, -1), nil
+		return http1.AppendRequest(nil, "GET", probePath, c.endpoint.addr, -1), nil, nil
 	case len(c.messages) == 1:
-		return c.singleRequest(s.deadlineMS(c))
+		return s.singleRequest(c, s.deadlineMS(c))
 	}
-	return c.bulkRequest(s.deadlineMS(c))
+	return s.bulkRequest(c, s.deadlineMS(c))
+}
+
+// requestMemory returns the memory in bytes that it takes to build and to hold the request of a call.
+func (c *call) requestMemory() (bytes int64) {
+	for _, m := range c.messages {
+		bytes += int64(base64.StdEncoding.EncodedLen(m.bodySize()))
+	}
+	return requestCopies * bytes
 }
 
 // deadlineMS returns the time that a call has left, in milliseconds, rounded up, and at least 1.
@@ -36,40 +45,47 @@
 }
 
 // singleRequest returns the request of a call with one message.
-func (c *call) singleRequest(deadlineMS string) (head, body []byte) {
+func (s *Sender) singleRequest(c *call, deadlineMS string) (head, body []byte, err error) {
 	m := c.messages[0]
+	if body, err = s.loadBody(m); err != nil {
+		return nil, nil, err
+	}
 	fields := []string{"X-Request-Id", string(m.ID), "X-Deadline-Ms", deadlineMS}
 	if m.idempotencyKey != "" {
 		fields = append(fields, "Idempotency-Key", m.idempotencyKey)
 	}
-	return http1.AppendRequest(nil, "POST", singlePath, c.endpoint.addr, len(m.body), fields...), m.body
+	return http1.AppendRequest(nil, "POST", singlePath, c.endpoint.addr, len(body), fields...), body, nil
 }
 
 // bulkRequest returns the request of a call with several messages. The message with the latest deadline comes first: an
 // endpoint may apply the deadline of the first message to the whole call, and an answer after that deadline counted for
 // none of the other messages, though it reported each as done.
-func (c *call) bulkRequest(deadlineMS string) (head, body []byte) {
+func (s *Sender) bulkRequest(c *call, deadlineMS string) (head, body []byte, err error) {
 	slices.SortStableFunc(c.messages, func(a, b *message) int { return cmp.Compare(b.Deadline, a.Deadline) })
-	body = append(body, '[')
+	items := []byte{'['}
 	for i, m := range c.messages {
+		body, err := s.loadBody(m)
+		if err != nil {
+			return nil, nil, err
+		}
 		if i > 0 {
-			body = append(body, ',')
+			items = append(items, ',')
 		}
-		body = m.appendBulkItem(body)
+		items = m.appendBulkItem(items, body)
 	}
-	body = append(body, ']')
-	return http1.AppendRequest(nil, "POST", bulkPath, c.endpoint.addr, len(body),
-		"Content-Type", "application/json", "X-Deadline-Ms", deadlineMS), body
+	items = append(items, ']')
+	return http1.AppendRequest(nil, "POST", bulkPath, c.endpoint.addr, len(items),
+		"Content-Type", "application/json", "X-Deadline-Ms", deadlineMS), items, nil
 }
 
 // appendBulkItem appends a message as JSON. Ids and keys consist of visible characters without quotes, so they need no
 // escaping.
-func (m *message) appendBulkItem(out []byte) []byte {
+func (m *message) appendBulkItem(out, body []byte) []byte {
 	out = append(out, `{"id":"`...)
 	out = append(out, m.ID...)
 	out = append(out, `","key":"`...)
 	out = append(out, cmp.Or(m.idempotencyKey, m.key)...)
 	out = append(out, `","body":"`...)
-	out = base64.StdEncoding.AppendEncode(out, m.body)
+	out = base64.StdEncoding.AppendEncode(out, body)
 	return append(out, `"}`...)
 }
--- a/internal/sender/restart_test.go
+++ b/internal/sender/restart_test.go
@@ -172,7 +172,7 @@
 	f.Add(m.acceptedRecord(), endRecord(m.ID, ending{kind: endFailed}))
 	f.Fuzz(func(t *testing.T, first, second []byte) {
 		dir := t.TempDir()
-		j, _, err := journal.Open(dir, 1<<20, func([]byte) {})
+		j, _, err := journal.Open(dir, 1<<20, func([]byte, int64) {})
 		if err != nil || len(first) == 0 || len(second) == 0 || len(first)+len(second) > 1<<16 {
 			return
 		}
@@ -184,11 +184,9 @@
 			return // the settings do not name the class of a message
 		}
 		pending := len(a.s.pending)
-		a.s.journal.Rewrite(func(add func([]byte)) {
-			for _, m := range a.s.accepted {
-				m.records(add)
-			}
-		})
+		if err := a.s.rewriteJournal(); err != nil {
+			t.Fatal(err)
+		}
 		if b := start(dir, 100); len(b.s.pending) != pending {
 			t.Fatalf("%d messages pending after the first start, %d after the second", pending, len(b.s.pending))
 		}
--- a/internal/sender/send.go
+++ b/internal/sender/send.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"go.uber.org/zap"
 
 	"flaxcove/choice"
 )
@@ -41,12 +42,15 @@
 // sendCall sends a call on an established link, without the messages that may no longer be sent. If no message is left,
 // the call ends and the link becomes idle.
 func (s *Sender) sendCall(c *call, l *link) {
-	if s.maySend(c, l) {
-		s.startWrite(c, l)
+	if !s.maySend(c, l) {
+		s.makeIdle(l)
+		s.endUnsent(c)
 		return
 	}
-	s.makeIdle(l)
-	s.endUnsent(c)
+	if !s.startWrite(c, l) {
+		s.makeIdle(l)
+		s.awaitCapacity(c)
+	}
 }
 
 // maySend reports whether a call may still be sent, and removes the messages that may not. It repeats the checks made when
@@ -68,8 +72,19 @@
 }
 
 // startWrite writes a call on a link. The write runs in a goroutine of its own, since an endpoint may read slowly, and ends
-// at the latest with the call's timeout.
-func (s *Sender) startWrite(c *call, l *link) {
+// at the latest with the call's timeout. It reports false, and does nothing, if memory has no room for the request or the
+// journal cannot be read.
+func (s *Sender) startWrite(c *call, l *link) bool {
+	held := c.requestMemory()
+	if !s.holders.requests.Take(held) {
+		return false
+	}
+	head, body, err := s.request(c)
+	if err != nil {
+		s.holders.requests.Release(held)
+		s.log.Error("cannot read the body of a message; its call waits", zap.Error(err))
+		return false
+	}
 	c.link, c.reused, l.call, l.writing = l, l.used, c, true
 	if c.reused {
 		c.sendingSince = s.sinceStart()
@@ -78,11 +93,12 @@
 	for _, m := range c.messages {
 		until = min(until, s.choice.RepeatableUntil(m.ID))
 	}
-	head, body := s.request(c)
 	go func() {
 		err := l.writeAll(append(head, body...), until)
+		s.holders.requests.Release(held)
 		s.post(func() { s.onWritten(l, err) })
 	}()
+	return true
 }
 
 // writeAll writes a request. It gives up when the time until has passed. If it returns an error, the last byte was not
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -64,6 +64,7 @@
 	discovery string          // current address of discovery and the platform; cfg.Discovery is the one at the start
 	watches   []chan struct{} // closing one ends its watch; the newest is last and ends the others with its first list
 
+	holders holders
 	clientFrontend
 	firstList
 	admission
@@ -97,6 +98,7 @@
 	s := &Sender{cfg: cfg, log: log, start: start, clock: clock, inbox: make(chan func(), inboxSize), stop: make(chan struct{})}
 	s.numbering = directory.NameNumbers{Zones: cfg.ZoneNumbers, Kinds: cfg.KindNumbers}
 	limited := s.withSystemLimits(cfg)
+	s.holders.init(cfg.Limits)
 	s.clientFrontend.init(limited)
 	s.routing.init()
 	s.linkPool.init(limited, s.clients.maxConns)
--- a/internal/sender/storeddata_test.go
+++ b/internal/sender/storeddata_test.go
@@ -70,6 +70,7 @@
 		Learned: s.choice.LearnedState("a"), Unlisted: unlisted.LearnedState, UnlistedAddr: unlisted.Addr,
 		UnlistedDestination: unlisted.Destination, LearnedAt: sinceClockStart(s.learnedAt)}
 	for _, n := range s.accepted {
+		n.body, _ = s.loadBody(n)
 		m := storedMessage{ID: string(n.ID), Key: n.key, IdempotencyKey: n.idempotencyKey, Tenant: n.tenant, Class: n.className,
 			Body: string(n.body), Destination: n.Destination, Accepted: sinceClockStart(n.acceptedAt), Deadline: sinceClockStart(n.Deadline),
 			MayHaveRun: n.MayRun, Ending: storedEnding(n.ending.kind), RetryAfterMilli: n.ending.retryMS}
@@ -152,7 +153,7 @@
 	if diff := cmp.Diff(want, readStart(s)); diff != "" {
 		t.Errorf("the first start (-stored +read):\n%s", diff)
 	}
-	if err := s.journal.Rewrite(s.records); err != nil {
+	if err := s.rewriteJournal(); err != nil {
 		t.Fatal(err)
 	}
 	want.Ended = false // a rewritten journal does not hold the ids of ended messages
@@ -166,7 +167,7 @@
 func TestWritesStoredRecords(t *testing.T) {
 	dir := copyStored(t)
 	var stored [][]byte
-	j, _, err := journal.Open(dir, 1<<20, func(record []byte) { stored = append(stored, bytes.Clone(record)) })
+	j, _, err := journal.Open(dir, 1<<20, func(record []byte, _ int64) { stored = append(stored, bytes.Clone(record)) })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -186,6 +187,7 @@
 		t.Errorf("%d messages and %d purges are restored, want %d and %d", len(s.accepted), len(s.lastApplied), len(want.Messages), len(want.Purges))
 	}
 	for _, n := range s.accepted {
+		n.body, _ = s.loadBody(n)
 		// The stored times of "early" are on the clock before it was put back.
 		if record := n.acceptedRecord(); n.ID != "early" && !contains(record) {
 			t.Errorf("message %q: the record %q is not in the stored journal", n.ID, record)
--- a/internal/sender/torn_journal_test.go
+++ b/internal/sender/torn_journal_test.go
@@ -237,7 +237,7 @@
 	}
 	first := startAt(twelveEndpointConfig(dir), end)
 	want := describe(first)
-	if err := first.s.journal.Rewrite(first.s.records); err != nil {
+	if err := first.s.rewriteJournal(); err != nil {
 		t.Fatal(err)
 	}
 	if got := describe(startAt(twelveEndpointConfig(dir), end)); len(want) == 0 || !slices.Equal(got, want) {
