Log: lines of one kind are limited, and those left out are counted

What operators saw: 30 clients that connect, send bytes that are no command and go made a sender write 7,800 lines a second; the library that reads sockets wrote lines of its own beside the JSON ("NETPOLL: readall ...").

Cause: each end of a connection is a line, so others decide how much is written.

Change: at most 100 lines of one kind (message, side, reason) in each second; a line "log lines left out" says how many more there were. The library logs through the same logger.

Test: TestLogLinesOfOneKindAreLimited; 5,000 lines of a flood give 100 and one that counts 4,900, and another kind is not affected. The limiter is new code: there was no text before on which the test could fail.

--- a/cmd/flaxcove/main.go
+++ b/cmd/flaxcove/main.go
@@ -2,7 +2,7 @@
 //
 // The package defines flags, exit codes and terminal output, with one file for each sub-command. The work is done by the
 // packages below internal (serve), lab (lab ...) and internal/routes (routes ...); no decision about a message is made here.
-// This file declares the list of sub-commands and the logger; serve.go sets the process's limits and handles its signals.
+// This file declares the list of sub-commands, logger.go makes the logger, and serve.go sets the process's limits and handles its signals.
 package main
 
 import (
@@ -12,8 +12,6 @@
 	"runtime"
 
 	"github.com/urfave/cli/v3"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"flaxcove/internal/config"
 )
@@ -53,16 +51,3 @@
 	fmt.Printf("%s: %d known endpoints, %d classes, in-flight limit %d\n", cfg.Name, len(cfg.InitialList.Entries), len(cfg.ClassNumbers), cfg.Settings.InFlightLimit)
 	return nil
 }
-
-// newLogger returns a logger that writes each entry to standard error as a line of JSON, without sampling. Trace enables the
-// debug level.
-func newLogger(trace bool) (*zap.Logger, error) {
-	cfg := zap.NewProductionConfig()
-	if trace {
-		cfg.Level.SetLevel(zap.DebugLevel)
-	}
-	cfg.Sampling = nil
-	cfg.DisableCaller, cfg.DisableStacktrace = true, true
-	cfg.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	return cfg.Build()
-}
