Sender: clients get their share, those who have left are not served, and the reader of sockets waits for nobody

What callers saw: while one client sends small requests at full speed, other clients are answered -BUSY, beside a hundred such clients nearly all; beside clients that read no answers, or come and leave, they are answered late. Requests of a client that has closed its connection were sent on afterwards; an id whose message had ended could run again when it came again.

Causes, one class: what a client gets was decided by who asks most, and by a queue that nobody looks at when its client goes. 1. A threshold by what is free (Choudhury, Hahne) gives way to many clients that fill it one after another: in a flood of 100, 6.70 of 6.71 MB of input were held. 2. The goroutine that reads all sockets and the readers that it wakes share one time slice of 10 ms; the loop got 2 % of the processor (profile), with 100 floods 2,600 commands a second. 3. Commands in the queue were handled whether or not their client was still there. 4.

Change: package fair decides admission: equal parts, a sixteenth kept from clients beyond their part and from those that send without waiting for answers; messages left behind by clients that are gone count against new connections. Holders of input and answers keep a reserve in the same way. Readers put clients on a list (ready_clients.go), which the loop serves in turn, 16 commands each, 1 ms at a time; the reader of sockets yields after 4 ms, reads at most 32 KiB at once, waits for a reader only if there is input, which only that reader can take, and for the loop never. Commands of a client whose connection has ended are discarded, also those that were admitted in a turn that is not written yet (counter abandoned); an id that comes again in that turn is answered to the client that waits. Answers that are not read have accounts; PING and INFO are answered -BUSY without room. Incomplete answers of endpoints and lists of discovery are bounded by the memory limit.

TestRequestsOfLeftClientsAreDiscarded and TestMessageOfLeftClientIsNotAccepted fail with the checks taken out.

Failed on the way: yielding after each read (the loop then took all, 120 of 133 usual requests unanswered); a client's part by what is free; a list of ready clients that lost a client whose queue ran empty at a full window (TestDrainWithBusyClients hung in one of three runs: hasQueued now lets the reader announce again).

Open: netpoll accepts one connection a round of all sockets, so under all loads at once clients that connect anew wait for seconds (0 of 128 in one run).

Changed tests: TestReadsStoredFolder wants the ended id also after a rewrite; Example_endedID likewise, and with new bounds.

--- a/internal/directory/call.go
+++ b/internal/directory/call.go
@@ -27,7 +27,7 @@
 const (
 	path    = "/api/targets"
 	maxHead = 16 << 10 // bytes read up to the end of the head, including body bytes in the same reads
-	maxList = 4 << 20  // bytes of a message, enough for a full list of some ten thousand endpoints
+	maxList = 4 << 20  // default of Options.MaxList, enough for a full list of some ten thousand endpoints
 	// graceReadTimeout is the time for one more read after the deadline for a sign of life. The read gets data that
 	// arrived while the process was paused, so that the pause is not mistaken for silence of discovery.
 	graceReadTimeout = 10 * time.Millisecond
@@ -140,7 +140,7 @@
 	if answer.StatusCode != http.StatusOK || !slices.Contains(answer.TransferEncoding, "chunked") {
 		return fmt.Errorf("unexpected answer: status %d, chunked %v", answer.StatusCode, len(answer.TransferEncoding) > 0)
 	}
-	c.headRead, c.bytesLeft, c.body = true, maxList, answer.Body
+	c.headRead, c.bytesLeft, c.body = true, c.watcher.listLimit(), answer.Body
 	return c.readMessages()
 }
 
@@ -220,7 +220,7 @@
 // recordSignOfLife records a sign of life and reports it to the watcher. l is the message, or nil for white space.
 func (c *call) recordSignOfLife(l *List) {
 	c.lastSign, c.alive, c.stalled = time.Now(), true, false
-	c.partialSince, c.bytesLeft = time.Time{}, maxList
+	c.partialSince, c.bytesLeft = time.Time{}, c.watcher.listLimit()
 	c.send(event{kind: signOfLife, list: l})
 }
 
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -20,6 +20,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -33,6 +34,7 @@
 // watcher calls discovery again and again. The goroutine in run owns it; calls send it events.
 type watcher struct {
 	addr      string
+	maxList   int   // see Options; 0 for the default
 	version   int64 // of the last message received; the next call asks for changes after it
 	timing    timing
 	backoff   backoff
@@ -86,14 +88,19 @@
 	Senders    int           // number of senders that call the same discovery
 	Since      int64         // version after which changes are asked for
 	DrainGrace time.Duration // within which calls to an endpoint end after it is drained or removed; 0 if unknown
+	MaxList    int           // maximum size in bytes of one message of discovery, at most and by default 4 MiB
 }
 
+// listLimit returns the maximum size in bytes of one message.
+func (w *watcher) listLimit() int { return min(cmp.Or(w.maxList, maxList), maxList) }
+
 // Watch receives the list from discovery until stop is closed.
 func Watch(options Options, stop <-chan struct{}, callbacks Callbacks) {
 	var d net.Dialer
 	w := &watcher{
 		addr:      options.Addr,
 		version:   options.Since,
+		maxList:   options.MaxList,
 		timing:    defaultTiming(options.Senders).withDrainGrace(options.DrainGrace),
 		dial:      func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
 		jitter:    func(most time.Duration) time.Duration { return rand.N(most) },
--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -21,6 +21,9 @@
 // Started reports whether any data has been received.
 func (a *Answer) Started() bool { return len(a.buf) > 0 }
 
+// Buffered returns the size in bytes of the memory that holds the data received.
+func (a *Answer) Buffered() int { return cap(a.buf) + cap(a.decoded) }
+
 // Feed adds a piece of data and parses as far as possible. It skips interim answers. An error is ErrHead, ErrSize or
 // ErrBody.
 func (a *Answer) Feed(piece []byte) error {
--- a/internal/sender/accept.go
+++ b/internal/sender/accept.go
@@ -55,7 +55,7 @@
 
 // onAccept registers a new connection in the client table. netpoll calls it before it reads from the connection.
 func (s *Sender) onAccept(conn netpoll.Connection) context.Context {
-	c := &client{conn: conn, connectedAt: s.clock(), peer: conn.RemoteAddr().String(), inputTaken: make(chan struct{}, 1),
+	c := &client{conn: conn, connectedAt: s.clock(), peer: conn.RemoteAddr().String(), inputTaken: make(chan struct{}, 1), reading: &s.reading,
 		inputAccount: s.holders.input.NewAccount(), outputAccount: s.holders.output.NewAccount()}
 	conn.SetWriteTimeout(clientWriteTimeout)
 	conn.AddCloseCallback(func(netpoll.Connection) error {
@@ -68,7 +68,7 @@
 		dropped.conn.Close()
 	}
 	if lingers != nil {
-		s.post(func() { s.startLingerTimers(lingers) })
+		go s.post(func() { s.startLingerTimers(lingers) }) // the goroutine that reads all sockets must not wait for the loop
 	}
 	return context.WithValue(context.Background(), clientKey{}, c)
 }
--- a/internal/sender/admission.go
+++ b/internal/sender/admission.go
@@ -20,10 +20,6 @@
 	maxLiveShare     = 0.38
 	// maxLaterRecordBytes is the maximum size in bytes of all records of one message after its accepted record.
 	maxLaterRecordBytes = 3 * (maxID + 64)
-	// maxRememberedEnded is the maximum number of ended messages whose ids are remembered, so that a message that is
-	// submitted again after its end does not run again. At three times the usual rate of messages, an id is remembered for
-	// longer than a message may be pending.
-	maxRememberedEnded = 8192
 	// maxEndedInAccepted is the maximum number of ended messages in admission.accepted beyond the number of pending messages.
 	maxEndedInAccepted = 1024
 )
@@ -32,6 +28,7 @@
 type admission struct {
 	journal         *journal.Journal
 	pending         map[choice.MessageID]*message
+	departed        resourceUse // of messages whose client has left
 	accepted        []*message  // pending messages in the order of acceptance; ended ones are removed from time to time
 	admitted        []*message  // messages admitted in this turn
 	liveBytes       int64       // upper bound of the size of the journal after a rewrite
@@ -39,30 +36,7 @@
 	latestRecorded  choice.Time // latest time in the records read so far, while the journal is replayed
 	missingZoneName []*message  // replayed messages whose attempt record has a zone number only, until the name is recorded
 
-	recentlyEnded map[choice.MessageID]struct{} // ids of messages that were accepted and have ended
-	endedRing     []choice.MessageID            // the ids in recentlyEnded; once full, the newest replaces the oldest
-	endedOldest   int                           // index of the oldest id in endedRing once it is full
-}
-
-// rememberEnded adds the id of an ended message to recentlyEnded. Beyond maxRememberedEnded ids the oldest is forgotten.
-func (a *admission) rememberEnded(id choice.MessageID) {
-	if _, known := a.recentlyEnded[id]; known {
-		return
-	}
-	if len(a.endedRing) < maxRememberedEnded {
-		a.endedRing = append(a.endedRing, id)
-	} else {
-		delete(a.recentlyEnded, a.endedRing[a.endedOldest])
-		a.endedRing[a.endedOldest] = id
-		a.endedOldest = (a.endedOldest + 1) % maxRememberedEnded
-	}
-	a.recentlyEnded[id] = struct{}{}
-}
-
-// hasJournalCapacity reports whether the journal can hold m and its later records. Messages admitted in the same turn count
-// too: a burst beyond the limit could not be written at all, and then no client would be answered.
-func (s *Sender) hasJournalCapacity(m *message) bool {
-	return s.liveBytes+s.reservedBytes+m.size+maxLaterRecordBytes <= int64(maxLiveShare*float64(s.journal.Limit()))
+	recentlyEnded endedIDs // messages that were accepted and have ended
 }
 
 // admit makes m pending. Its client is answered at the end of the turn, when its record is written.
@@ -72,6 +46,23 @@
 	s.reservedBytes += m.size + maxLaterRecordBytes
 }
 
+// withdrawAbandoned ends the messages admitted in this turn whose client has left: nobody has been told that they are
+// accepted, and the client may have submitted them elsewhere.
+func (s *Sender) withdrawAbandoned() {
+	for _, m := range s.admitted {
+		if m.reply == nil || m.journaled || !m.reply.client.hasLeft() {
+			continue
+		}
+		s.counts.abandoned++
+		s.choice.Withdraw(m.ID)
+		m.ending = ending{kind: endShed}
+		r := m.reply
+		m.reply = nil
+		s.answerBusy(r, 0) // keeps the replies of the client in order until they are dropped
+		s.closeMessage(m)
+	}
+}
+
 // commit writes the records of the turn to the journal. It reports whether they are written, and so whether admitted
 // messages and orders may be answered and calls may be sent.
 func (s *Sender) commit() bool {
--- a/internal/sender/bodies.go
+++ b/internal/sender/bodies.go
@@ -40,6 +40,7 @@
 
 // releaseMessage releases what a message holds besides its body.
 func (s *Sender) releaseMessage(m *message) {
+	s.disown(m)
 	if m.accounted {
 		s.holders.messages.Release(messageOverhead)
 		m.accounted = false
@@ -76,7 +77,7 @@
 	m.stored = storedBody{at: at + int64(len(m.acceptedHead())), size: len(m.body)}
 }
 
-// rewriteJournal replaces the journal's file by one that holds the pending messages and the last purges.
+// rewriteJournal replaces the journal's file by one that holds the pending messages, the last purges and which messages have ended.
 func (s *Sender) rewriteJournal() error {
 	bodiesAt := make([]int64, 0, len(s.accepted))
 	err := s.journal.Rewrite(func(add func([]byte) int64) error {
@@ -90,6 +91,7 @@
 		for _, p := range s.lastApplied {
 			add(p.record())
 		}
+		s.recentlyEnded.records(s.journal.Limit()/endedJournalDivisor, add)
 		return nil
 	})
 	if err != nil {
--- a/internal/sender/capacity_test.go
+++ b/internal/sender/capacity_test.go
@@ -63,7 +63,7 @@
 
 // capacityClient returns a client for submitNumbered, whose replies stay in its output until discardReplies.
 func capacityClient() *client {
-	return &client{writingReplies: 1}
+	return newClient()
 }
 
 // discardReplies empties the output and the window of a client without a reader.
--- a/internal/sender/client_input.go
+++ b/internal/sender/client_input.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"runtime"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -19,7 +20,7 @@
 	maxIdleBuffer = maxInput / 8
 	// receiveBuffer is the size in bytes of the kernel's receive buffer of a client connection, and so of the most that
 	// netpoll reads at once.
-	receiveBuffer = 128 << 10
+	receiveBuffer = 32 << 10
 )
 
 func init() {
@@ -32,9 +33,18 @@
 // reads all sockets. For a client it waits until the input is parsed: otherwise that goroutine would go on reading, and
 // would fill netpoll's buffer faster than the reader empties it. The task itself ends later, because its end may wait for
 // that goroutine.
+//
+// The wait ends. netpoll holds the connection's lock for this task, so no other task takes input meanwhile, and it starts a
+// task with onClientInput if there is input. There may be none, if the task before has taken it: then this task calls
+// nothing, and nothing is waited for. onClientInput itself waits for nothing but locks that are held briefly.
 func runCallback(ctx context.Context, task func()) {
 	c, isClient := ctx.Value(clientKey{}).(*client)
 	if !isClient {
+		go task()
+		runtime.Gosched() // the task goes first, so that it reads before more input arrives
+		return
+	}
+	if c.conn.Reader().Len() == 0 {
 		go task()
 		return
 	}
@@ -44,6 +54,7 @@
 	}
 	go task()
 	<-c.inputTaken
+	c.reading.yieldIfDue()
 }
 
 // onClientInput parses all input that has arrived on a connection. netpoll calls it, and calls it again only when more
--- a/internal/sender/client_queue.go
+++ b/internal/sender/client_queue.go
@@ -14,7 +14,7 @@
 	// commandOverhead is the memory in bytes that a queued command takes besides its text.
 	commandOverhead = 512
 	// maxDroppedAtOnce is the maximum number of dropped commands that are answered at once.
-	maxDroppedAtOnce = 4096
+	maxDroppedAtOnce = 512
 )
 
 // queuedCommand is an entry of a client's queue: a command, the error of input that is no command, or a number of commands
@@ -41,7 +41,7 @@
 // reports whether the reader goes on.
 func (s *Sender) queueCommand(c *client, text []byte) bool {
 	charge := int64(len(text)) + commandOverhead
-	if c.queueFull() || !c.inputAccount.Take(charge) {
+	if c.queueFull() || !c.takeInput(charge) {
 		return s.queueDropped(c)
 	}
 	if !s.countCommand(c) {
@@ -53,6 +53,15 @@
 	return true
 }
 
+// takeInput takes memory for a command, and reports whether there is room for it. A client that has no other command
+// unanswered may use the reserve.
+func (c *client) takeInput(bytes int64) bool {
+	if c.unanswered.Load() == 0 {
+		return c.inputAccount.TakeReserved(bytes)
+	}
+	return c.inputAccount.Take(bytes)
+}
+
 // queueDropped queues the answer to a command that was dropped, and reports whether the reader goes on.
 func (s *Sender) queueDropped(c *client) bool {
 	if !s.countCommand(c) {
@@ -82,18 +91,26 @@
 	c.queueAnnounced = true
 	c.queueLock.Unlock()
 	if !announced {
-		s.post(func() { s.handleQueue(c) })
+		s.ready.add(c)
 	}
 }
 
-// handleQueue handles commands of the client's queue until the queue is empty, the window is full, or too much output is
-// not written yet. In the last two cases it is called again when answers have been written. It runs on the loop, but never
-// within the end of a turn, because it may admit messages.
-func (s *Sender) handleQueue(c *client) {
-	for c.handled < windowSize && len(c.output) <= maxUnreadOutput/2 {
+// handleQueue handles up to commandsPerVisit commands of the client's queue, and reports whether it may go on at once. It
+// stops earlier if the queue is empty, the window is full, or too many answers are not read; in the last two cases
+// resumeQueue is called when answers have been written. It runs on the loop, but never within the end of a turn, because it
+// may admit messages.
+func (s *Sender) handleQueue(c *client) (more bool) {
+	if c.hasLeft() {
+		s.discardQueue(c)
+		return false
+	}
+	for range commandsPerVisit {
+		if !s.mayHandle(c) {
+			return false
+		}
 		command, more := c.nextQueued()
 		if !more {
-			return
+			return false
 		}
 		c.handled += max(1, command.dropped)
 		switch {
@@ -110,25 +127,44 @@
 			c.inputAccount.Release(command.charge)
 		}
 	}
+	return true
+}
+
+// mayHandle reports whether the next command of a client may be handled: its window is not full, and it has read enough of
+// its answers.
+func (s *Sender) mayHandle(c *client) bool {
+	return c.handled < windowSize && len(c.output) <= maxUnreadOutput/2 && c.outputAccount.HasRoom()
+}
+
+// discardQueue discards the commands of a client whose connection has ended. Nobody waits for their answers, and the client
+// may have submitted their messages elsewhere.
+func (s *Sender) discardQueue(c *client) {
+	for {
+		command, more := c.nextQueued()
+		if !more {
+			return
+		}
+		count := max(1, command.dropped)
+		s.counts.abandoned += int64(count)
+		c.unanswered.Add(-int64(count))
+		c.inputAccount.Release(command.charge)
+	}
 }
 
-// resumeQueue goes on with the client's queue in the next turn, before package choice decides.
+// resumeQueue goes on with the client's queue if it was left because of the window or of unread answers.
 func (s *Sender) resumeQueue(c *client) {
-	if c.resumeScheduled || !c.hasQueued() {
-		return
+	if c.hasQueued() {
+		s.ready.add(c)
 	}
-	c.resumeScheduled = true
-	s.after(0, func() {
-		c.resumeScheduled = false
-		s.handleQueue(c)
-	})
 }
 
-// hasQueued reports whether the loop has commands of the client to handle.
+// hasQueued reports whether the loop has commands of the client to handle. If not, the reader announces the next command
+// again.
 func (c *client) hasQueued() bool {
 	c.queueLock.Lock()
 	defer c.queueLock.Unlock()
-	return len(c.queued) > 0
+	c.queueAnnounced = len(c.queued) > 0
+	return c.queueAnnounced
 }
 
 // queueFull reports whether the client has maxQueued commands in its queue. Only the reader calls it.
--- a/internal/sender/client_timeouts.go
+++ b/internal/sender/client_timeouts.go
@@ -81,8 +81,13 @@
 	c.closeReason = cmp.Or(c.lingerReason, c.closeReason, peerClosed)
 	s.clients.Unlock()
 	c.disconnected = true
+	c.countedAsDeparted = true
+	s.departed.add(c.use)
 	s.flushReplies(c)
+	s.discardQueue(c)
 	c.setUnparsed(0) // the reader no longer runs
+	c.inputAccount.Close()
+	c.outputAccount.Close()
 	s.counts.clientsEnded++
 	s.logConnEnded("client", c.peer, c.closeReason, nil)
 }
--- a/internal/sender/clients.go
+++ b/internal/sender/clients.go
@@ -41,6 +41,8 @@
 // are served.
 type clientFrontend struct {
 	clients  clientTable
+	ready    readyClients
+	reading  readingTurn
 	listener netpoll.Listener
 }
 
@@ -64,8 +66,10 @@
 	conn         netpoll.Connection
 	peer         string        // remote address
 	unanswered   atomic.Int64  // number of commands that the reader has counted and whose answers are not written
+	reading      *readingTurn  // of clientFrontend
 	inputTaken   chan struct{} // gets an element when the reader has parsed its input
 	readerBusy   atomic.Bool   // the reader is running
+	left         atomic.Bool   // the connection has ended, whoever has ended it
 	partialSince atomic.Int64  // time on the sender's clock since which a command is incomplete; 0 if none is
 	idleSince    atomic.Int64  // time on the sender's clock of the last answer written; 0 before the first answer
 	ignoreInput  atomic.Bool   // input is no longer parsed, for example after a malformed command
@@ -86,7 +90,9 @@
 	// queueLock guards this group of fields. No other lock is taken under it.
 	queueLock      sync.Mutex
 	queued         []queuedCommand // commands that the loop has not handled, in their order
-	queueAnnounced bool            // the loop knows that the queue is not empty
+	queueAnnounced bool            // the loop knows that the queue is not empty, and will go on with it
+
+	waiting bool // it is in clientFrontend.ready, whose lock guards the field
 
 	// The reader owns this group of fields.
 	input     []byte        // the beginning of an incomplete command
@@ -96,19 +102,22 @@
 	discarded int           // bytes discarded while the client was lingering
 
 	// The loop owns this group of fields.
-	connectedAt      time.Duration // time on the sender's clock; set once, before the client is in the table
-	handled          int           // commands in the window: handled, and their answers are not written
-	replies          []*reply      // replies that are not in output yet, in the order of the commands
-	served           bool          // the client has sent a command
-	badCommands      int           // number of invalid commands
-	output           []byte        // answers that are ready and not being written yet
-	outputReplies    int           // number of commands that output answers
-	writingReplies   int           // number of commands whose answers are being written
-	closeReason      reason
-	closing          bool // the connection is closed once all answers are written
-	resumeScheduled  bool // a timer will go on with the queue
-	recheckScheduled bool // a timer will check again whether the connection can be closed
-	disconnected     bool // the connection has ended or is being closed; nothing more is written
+	connectedAt       time.Duration // time on the sender's clock; set once, before the client is in the table
+	handled           int           // commands in the window: handled, and their answers are not written
+	replies           []*reply      // replies that are not in output yet, in the order of the commands
+	served            bool          // the client has sent a command
+	badCommands       int           // number of invalid commands
+	writingBytes      int64         // bytes of answers that are being written
+	output            []byte        // answers that are ready and not being written yet
+	outputReplies     int           // number of commands that output answers
+	writingReplies    int           // number of commands whose answers are being written
+	closeReason       reason
+	closing           bool        // the connection is closed once all answers are written
+	recheckScheduled  bool        // a timer will check again whether the connection can be closed
+	disconnected      bool        // the connection has ended or is being closed; nothing more is written
+	use               resourceUse // of its messages
+	countedAsDeparted bool        // admission.departed includes use
+	established       bool        // see establishedAfter
 }
 
 // reply reserves the position of an answer among the answers to its client. The text may be that of several commands.
@@ -120,6 +129,7 @@
 
 // init sets the limits of the table from the configuration. Half of the sockets are for clients.
 func (f *clientFrontend) init(cfg *config.Config) {
+	f.ready.init()
 	f.clients.all = map[*client]struct{}{}
 	f.clients.maxConns = cfg.Limits.Sockets / 2
 	f.clients.maxServed = f.clients.maxConns - max(1, f.clients.maxConns/8)
@@ -133,6 +143,13 @@
 	t.busyReply.Store(&text)
 }
 
+// servedCount returns the number of clients that are served.
+func (t *clientTable) servedCount() int {
+	t.Lock()
+	defer t.Unlock()
+	return t.served
+}
+
 // count returns the number of connected clients.
 func (t *clientTable) count() int {
 	t.Lock()
@@ -146,6 +163,9 @@
 	return c.unanswered.Load() == 0 && (c.ignoreInput.Load() || !c.readerBusy.Load() && c.partialSince.Load() == 0)
 }
 
+// hasLeft reports whether nobody waits for answers any more. Only the loop calls it.
+func (c *client) hasLeft() bool { return c.disconnected || c.left.Load() }
+
 // isWriteClosed reports whether the sender has shut down its sending side of the connection.
 func (c *client) isWriteClosed() bool {
 	c.stateLock.Lock()
--- a/internal/sender/command.go
+++ b/internal/sender/command.go
@@ -24,7 +24,7 @@
 	case strings.EqualFold(name, "OUT.ADD"):
 		s.addMessage(r, args)
 	case strings.EqualFold(name, "PING") && len(args) == 2:
-		s.setReply(r, resp.AppendBulk(nil, args[1]))
+		s.answerLong(r, resp.AppendBulk(nil, args[1]))
 	case strings.EqualFold(name, "PING"):
 		s.setReply(r, resp.AppendSimple(nil, "PONG"))
 	case strings.EqualFold(name, "INFO"):
@@ -33,7 +33,7 @@
 			text = append(text, line...)
 			text = append(text, "\r\n"...)
 		}
-		s.setReply(r, resp.AppendBulk(nil, text))
+		s.answerLong(r, resp.AppendBulk(nil, text))
 	default:
 		s.answerInvalidCommand(r, "unknown command")
 	}
@@ -51,11 +51,12 @@
 	if s.answerResubmission(r, m.ID) || !s.checkDestination(r, m.Destination) {
 		return
 	}
-	if len(s.pending) >= s.cfg.Settings.MaxOpen || !s.hasJournalCapacity(m) || s.journalFailing || s.pastSendTime() || !s.takeMessage(m) {
+	if !s.admits(r.client, m) || s.journalFailing || s.pastSendTime() || !s.takeMessage(m) {
 		s.answerBusy(r, s.longestReturnMS())
 		return
 	}
 	m.reply = r
+	s.own(r.client, m)
 	s.log.Debug("message admitted", zap.String("id", string(m.ID)), zap.String("workload", m.className),
 		zap.Int64("dest", int64(m.Destination)), zap.Int64("hard_stop_ms", int64((m.Deadline-s.Now())/choice.Millisecond)))
 	s.admit(m)
@@ -67,11 +68,12 @@
 // it did so. Clients submit a message again after their connection ended without an answer.
 func (s *Sender) answerResubmission(r *reply, id choice.MessageID) bool {
 	earlier := s.pending[id]
-	_, ended := s.recentlyEnded[id]
 	switch {
+	case earlier != nil && earlier.reply != nil && earlier.reply.client.hasLeft():
+		earlier.reply = r // the client that waits now gets the answer
 	case earlier != nil && earlier.reply != nil:
 		s.setReply(r, resp.AppendError(nil, "ERR handed in twice at once"))
-	case earlier != nil || ended:
+	case earlier != nil || s.recentlyEnded.has(id):
 		s.setReply(r, resp.AppendSimple(nil, "OK"))
 	default:
 		return false
--- a/internal/sender/counters.go
+++ b/internal/sender/counters.go
@@ -15,7 +15,7 @@
 	attempts, probes, connects, connectsFailed, callsTimedOut     int64
 	delivered, shed, failed, endingsPosted, postsFailed           int64
 	clientsEnded, linksEnded, watchesEnded, rewrites              int64
-	reloads, inputDropped                                         int64
+	reloads, inputDropped, abandoned                              int64
 	purges, withdrawn, withdrawnInFlight, evicted, learnedAdopted int64
 	outcomes                                                      [choice.Unreadable + 1]int64
 }
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -3,6 +3,7 @@
 // This file watches the endpoint list of discovery, and switches to another address of discovery on reload.
 
 import (
+	"math"
 	"slices"
 
 	"go.uber.org/zap"
@@ -44,7 +45,8 @@
 			s.logConnEnded("discovery", addr, watchEnded, err)
 		})
 	}
-	options := directory.Options{Addr: addr, Senders: s.cfg.Settings.Senders, Since: since, DrainGrace: s.cfg.DrainGrace}
+	options := directory.Options{Addr: addr, Senders: s.cfg.Settings.Senders, Since: since, DrainGrace: s.cfg.DrainGrace,
+		MaxList: int(min(s.cfg.Limits.MemoryMB<<20/listDivisor, math.MaxInt32))}
 	go directory.Watch(options, stop, directory.Callbacks{OnList: onList, OnEstablished: onEstablished, OnStalled: onStalled, OnFailure: onEnd})
 }
 
--- a/internal/sender/endpoint_input.go
+++ b/internal/sender/endpoint_input.go
@@ -18,6 +18,8 @@
 // at once; one that stops in the middle would occupy a place of the in-flight limit until the call's timeout.
 const answerRestTimeout = 250 * time.Millisecond
 
+var errAnswerMemory = errors.New("no memory is left for the answer")
+
 var errUnsolicited = errors.New("unsolicited input from the endpoint: no call awaits an answer on the connection")
 
 // onEndpointInput reads the input of a link and posts the beginning or the end of an answer to the loop. It is netpoll's
@@ -42,11 +44,15 @@
 	if err := l.feedAnswer(conn.Reader()); err != nil {
 		return nil, err
 	}
+	if !l.holdAnswer(int64(l.answer.Buffered())) {
+		return nil, errAnswerMemory
+	}
 	switch {
 	case l.answer.Done:
 		a := readAnswer(&l.answer)
 		a.close = a.close || l.answer.BytesAfter() > 0 // bytes after an answer would be read as the start of the next one
 		l.answer = http1.Answer{}
+		l.holdAnswer(0)
 		l.awaitingAnswer.Store(false)
 		l.answerBegun = false
 		return func() { l.sender.onAnswer(l, a) }, nil
@@ -57,6 +63,20 @@
 	return nil, nil
 }
 
+// holdAnswer sets how many bytes the incomplete answer takes, and reports whether there is room for them. The first
+// freeAnswerBytes are not counted, so that there is always room for a usual answer. It is called by netpoll's callback.
+func (l *link) holdAnswer(bytes int64) bool {
+	more := max(0, bytes-freeAnswerBytes) - l.answerHeld
+	if more > 0 && !l.sender.holders.endpoints.Take(more) {
+		return false
+	}
+	if more < 0 {
+		l.sender.holders.endpoints.Release(-more)
+	}
+	l.answerHeld += more
+	return true
+}
+
 // rejectInput marks the link as one whose input cannot be an answer, unless err is nil. It is called under inputLock, so
 // that no call is sent on the link after bad input and before its close.
 func (l *link) rejectInput(err error) {
@@ -84,6 +104,7 @@
 // endOfInput returns what was received of an answer before the connection ended. It is called by netpoll once the input is
 // handled and before the descriptor is closed.
 func (l *link) endOfInput() *partialAnswer {
+	defer l.holdAnswer(0)
 	end := &partialAnswer{status: l.answer.Status(), begun: l.answer.Started()}
 	if l.badInput.Load() || !endedInOrder(l.conn) || l.answer.End() != nil || !l.answer.Done {
 		return end
--- a/internal/sender/first_list.go
+++ b/internal/sender/first_list.go
@@ -58,6 +58,8 @@
 		select {
 		case f := <-s.inbox:
 			f()
+		case <-s.ready.wake:
+			s.serveReady()
 		case <-timeout:
 			s.holdUntilFirstList()
 			return
--- a/internal/sender/harness_test.go
+++ b/internal/sender/harness_test.go
@@ -14,6 +14,7 @@
 	"flaxcove/internal/config"
 	"flaxcove/internal/directory"
 	"flaxcove/internal/http1"
+	"flaxcove/internal/sender/memory"
 )
 
 // Answers of endpoints, for endpointAnswers.
@@ -125,12 +126,16 @@
 
 // newClient returns a client whose replies stay in its output.
 func newClient() *client {
-	return &client{writingReplies: 1}
+	return &client{writingReplies: 1, inputAccount: ampleAccount(), outputAccount: ampleAccount()}
 }
 
-// newUnreadClient returns a client that has disconnected; its replies are dropped.
-func newUnreadClient() *client {
-	return &client{disconnected: true}
+// newUnreadClient returns a client whose replies are never written.
+func newUnreadClient() *client { return newClient() }
+
+// ampleAccount returns an account with room for everything.
+func ampleAccount() *memory.Account {
+	const ample = 1 << 40
+	return memory.NewBudget(ample).NewHolder(ample).NewAccount()
 }
 
 // count counts a command that a test handles without a reader.
@@ -175,7 +180,7 @@
 
 // client returns a client that has just connected.
 func (h *harness) client(conn netpoll.Connection) *client {
-	c := &client{conn: conn, connectedAt: h.clock}
+	c := &client{conn: conn, connectedAt: h.clock, inputAccount: ampleAccount(), outputAccount: ampleAccount()}
 	h.s.clients.all[c] = struct{}{}
 	h.s.clients.served++
 	return c
--- a/internal/sender/holders.go
+++ b/internal/sender/holders.go
@@ -16,32 +16,32 @@
 // Shares of the memory limit, as reciprocals. Together they leave room for the program itself, for connections, and for
 // garbage that is not collected yet.
 const (
-	inputDivisor       = 10
-	messagesDivisor    = 16
-	bodiesDivisor      = 32
-	outputDivisor      = 16
-	requestsDivisor    = 16
-	endpointsDivisor   = 32
-	rememberedDivisor  = 64
-	budgetDivisor      = 3 // of the budget of all holders
-	keptBodiesDivisor  = 2 // the share of the bodies' holder that bodies may keep after their records are written
-	requestCopies      = 2 // copies of a request that exist while it is built
-	writtenCopies      = 2 // copies of an answer that exist while it is written: netpoll has one
-	freeAnswerBytes    = 4 << 10
-	messageOverhead    = 2 << 10 // memory in bytes of an accepted message without its body, in all tables and timers
-	rememberedOverhead = 160     // memory in bytes of a remembered id besides its text
+	inputDivisor      = 10
+	messagesDivisor   = 16
+	bodiesDivisor     = 32
+	outputDivisor     = 16
+	requestsDivisor   = 16
+	endpointsDivisor  = 32
+	listDivisor       = 16 // of one message of discovery, which takes several times as much while it is read
+	rememberedDivisor = 32
+	budgetDivisor     = 3 // of the budget of all holders
+	keptBodiesDivisor = 2 // the share of the bodies' holder that bodies may keep after their records are written
+	requestCopies     = 2 // copies of a request that exist while it is built
+	writtenCopies     = 2 // copies of an answer that exist while it is written: netpoll has one
+	freeAnswerBytes   = 4 << 10
+	messageOverhead   = 2 << 10 // memory in bytes of an accepted message without its body, in all tables and timers
 )
 
 // holders are the uses of memory that are accounted for.
 type holders struct {
-	budget     *memory.Budget
-	input      *memory.Holder // incomplete commands, and commands that are queued for the loop
-	messages   *memory.Holder // accepted messages without their bodies
-	bodies     *memory.Holder // bodies of accepted messages
-	output     *memory.Holder // answers that clients have not read
-	requests   *memory.Holder // requests that are being written to endpoints
-	endpoints  *memory.Holder // incomplete answers of endpoints
-	remembered *memory.Holder // ids of messages that have ended
+	budget          *memory.Budget
+	input           *memory.Holder // incomplete commands, and commands that are queued for the loop
+	messages        *memory.Holder // accepted messages without their bodies
+	bodies          *memory.Holder // bodies of accepted messages
+	output          *memory.Holder // answers that clients have not read
+	requests        *memory.Holder // requests that are being written to endpoints
+	endpoints       *memory.Holder // incomplete answers of endpoints
+	rememberedBytes int64          // memory for messages that have ended, which endedIDs never exceeds
 }
 
 // init makes the holders for a memory limit.
@@ -54,10 +54,10 @@
 	h.output = h.budget.NewHolder(limit / outputDivisor)
 	h.requests = h.budget.NewHolder(limit / requestsDivisor)
 	h.endpoints = h.budget.NewHolder(limit / endpointsDivisor)
-	h.remembered = h.budget.NewHolder(limit / rememberedDivisor)
+	h.rememberedBytes = limit / rememberedDivisor
 }
 
-// memoryCounters returns the number of bytes that each holder holds, and the limit of all.
+// memoryCounters returns the number of bytes that each holder holds, and what was discarded because nobody waited for it.
 func (s *Sender) memoryCounters() []counter {
 	return []counter{
 		{"memory_budget", s.holders.budget.Limit()},
@@ -68,7 +68,8 @@
 		{"memory_output", s.holders.output.Held()},
 		{"memory_requests", s.holders.requests.Held()},
 		{"memory_endpoints", s.holders.endpoints.Held()},
-		{"memory_remembered", s.holders.remembered.Held()},
+		{"memory_remembered", s.recentlyEnded.bytes()},
 		{"memory_journal", s.journal.Buffered()},
+		{"abandoned", s.counts.abandoned}, // commands whose client left before they were handled or accepted
 	}
 }
--- a/internal/sender/lingering_close.go
+++ b/internal/sender/lingering_close.go
@@ -118,6 +118,7 @@
 
 // connEnded marks a client's descriptor as closed. It is called before netpoll closes the descriptor.
 func (t *clientTable) connEnded(c *client) {
+	c.left.Store(true)
 	t.Lock()
 	defer t.Unlock()
 	c.stateLock.Lock()
--- a/internal/sender/links.go
+++ b/internal/sender/links.go
@@ -45,6 +45,8 @@
 	conn     netpoll.Connection
 	answer   http1.Answer // parser of the answer; owned by netpoll's callback, of which only one runs at a time
 
+	answerHeld int64 // bytes that the answer holds of holders.endpoints; owned by netpoll's callback
+
 	// These two are shared by netpoll's callback, the writer and the loop.
 	awaitingAnswer atomic.Bool           // a call was written and its answer is not complete
 	badInput       atomic.Bool           // the input cannot be an answer
@@ -116,10 +118,26 @@
 	}
 	go func() {
 		conn, err := netpoll.DialConnection("tcp", addr, time.Duration(config.Nanoseconds(max(1, timeout))))
+		if err == nil {
+			err = boundReceiveBuffer(conn)
+		}
 		s.post(func() { s.onDialed(c, conn, err) })
 	}()
 }
 
+// boundReceiveBuffer sets the size of the kernel's receive buffer of a new link, and so of the most that netpoll reads at once
+// of an answer that does not end. If that fails, it closes the link.
+func boundReceiveBuffer(conn netpoll.Connection) error {
+	fd, known := conn.(netpoll.Conn)
+	if !known {
+		return nil
+	}
+	if err := syscall.SetsockoptInt(fd.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer); err != nil {
+		return errors.Join(err, conn.Close())
+	}
+	return nil
+}
+
 // takeIdle removes and returns the settled idle link that was used last, so that the others can time out; nil if there is
 // none. It checks the socket itself: a call sent on a link that has ended, but whose end is not handled yet, may count as
 // one that has run.
--- a/internal/sender/long_day_test.go
+++ b/internal/sender/long_day_test.go
@@ -64,9 +64,9 @@
 			t.Errorf("hour %d: the journal has %d of at most %d bytes", no, size, limit)
 		}
 		if len(h.s.pending) > 0 || len(h.s.endings) > 0 || len(h.s.choiceTimers) > 4 || len(h.s.timers) > 16 ||
-			len(h.s.admission.recentlyEnded) > maxRememberedEnded || len(h.s.accepted) > 2*len(h.s.pending)+maxEndedInAccepted+1 {
+			len(h.s.admission.recentlyEnded.known) > h.s.admission.recentlyEnded.limit || len(h.s.accepted) > 2*len(h.s.pending)+maxEndedInAccepted+1 {
 			t.Errorf("hour %d: pending %d, endings %d, choiceTimers %d, timers %d, recentlyEnded %d, accepted %d", no, len(h.s.pending),
-				len(h.s.endings), len(h.s.choiceTimers), len(h.s.timers), len(h.s.admission.recentlyEnded), len(h.s.accepted))
+				len(h.s.endings), len(h.s.choiceTimers), len(h.s.timers), len(h.s.admission.recentlyEnded.known), len(h.s.accepted))
 		}
 	}
 	if last > first+first/4 {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -31,6 +31,8 @@
 			f()
 			s.eventsPending = true
 			s.runQueued()
+		case <-s.ready.wake:
+			s.serveReady()
 		case <-wake.C:
 			s.wakeups++
 		}
@@ -80,6 +82,7 @@
 		t.fire()
 	}
 	s.readCluster()
+	s.withdrawAbandoned()
 	if !s.pastSendTime() && !s.journalFailing && !s.gated && !s.listAwaited {
 		s.choice.TurnEnd()
 	}
--- a/internal/sender/many_clients_test.go
+++ b/internal/sender/many_clients_test.go
@@ -68,7 +68,7 @@
 		conn, _ := netpoll.NewFDConnection(pair[0])
 		syscall.Write(pair[1], []byte(input))
 		h.clock += time.Second
-		return &client{conn: conn, connectedAt: h.clock}
+		return &client{conn: conn, connectedAt: h.clock, inputAccount: ampleAccount(), outputAccount: ampleAccount()}
 	}
 	table := &h.s.clients
 	table.maxServed = 2
--- a/internal/sender/memory/memory.go
+++ b/internal/sender/memory/memory.go
@@ -5,18 +5,19 @@
 // leaves less room for what is taken later. New work is taken only while the whole budget has room (TakeSpare), so that it
 // is turned away before anything else.
 //
-// Clients share a holder by accounts. A client may hold at most a fixed part of what is free. Clients that take all they
-// get leave each other equal parts, and always leave something free for a client that holds little: n of them leave
-// 1/(1+n/share) of the holder free. The method is that of Choudhury and Hahne, "Dynamic queue length thresholds for
-// shared-memory packet switches", IEEE/ACM Transactions on Networking 6 (1998), with a share of one quarter.
+// Clients share a holder by accounts. All of them leave a reserve free, except for what one client waits for (TakeReserved),
+// and that only up to an equal part of the holder. So a single client can fill most of the holder, and clients that hold
+// little still find room. A threshold that depends on what is free alone, as that of Choudhury and Hahne, "Dynamic queue
+// length thresholds for shared-memory packet switches", IEEE/ACM Transactions on Networking 6 (1998), gives way to many
+// clients that fill the holder one after another.
 //
 // The package performs no I/O. All methods may be called from any goroutine; no other lock is taken under the budget's.
 package memory
 
 import "sync"
 
-// freeUnitsPerHeldUnit is the reciprocal of the share of what is free that one account may hold.
-const freeUnitsPerHeldUnit = 4
+// reserveDivisor is the reciprocal of the part of a holder that Account.Take leaves free.
+const reserveDivisor = 8
 
 // Budget is the memory that all holders share.
 type Budget struct {
@@ -45,7 +46,10 @@
 type Holder struct {
 	budget *Budget
 	limit  int64 // bytes
-	held   int64 // bytes; guarded by the budget's lock
+
+	// The budget's lock guards these.
+	held     int64 // bytes
+	accounts int64 // number of accounts that are open
 }
 
 // Take adds bytes to what the holder holds, and reports whether it may. If it may not, nothing changes. A holder that holds
@@ -97,8 +101,13 @@
 // Limit returns the number of bytes that the holder may take.
 func (h *Holder) Limit() int64 { return h.limit }
 
-// NewAccount returns an account that holds nothing.
-func (h *Holder) NewAccount() *Account { return &Account{holder: h} }
+// NewAccount opens an account that holds nothing.
+func (h *Holder) NewAccount() *Account {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.accounts++
+	return &Account{holder: h}
+}
 
 // Account is what one client holds of a holder.
 type Account struct {
@@ -107,27 +116,46 @@
 }
 
 // Take adds bytes to what the account holds, and reports whether it may. If it may not, nothing changes.
-func (a *Account) Take(bytes int64) bool {
-	b := a.holder.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !a.fits(bytes) {
+func (a *Account) Take(bytes int64) bool { return a.take(bytes, false) }
+
+// TakeReserved is Take for something that the client waits for. It may use the reserve if the account then holds no more than
+// an equal part of the holder.
+func (a *Account) TakeReserved(bytes int64) bool { return a.take(bytes, true) }
+
+// take implements Take and TakeReserved.
+func (a *Account) take(bytes int64, reserved bool) bool {
+	a.holder.budget.mu.Lock()
+	defer a.holder.budget.mu.Unlock()
+	if !a.fits(bytes, reserved) {
 		return false
 	}
 	a.add(bytes)
 	return true
 }
 
-// HasRoom reports whether the account holds nothing, or less than it may.
+// HasRoom reports whether the account holds nothing, or the reserve is free.
 func (a *Account) HasRoom() bool {
 	a.holder.budget.mu.Lock()
 	defer a.holder.budget.mu.Unlock()
-	return a.held == 0 || a.fits(0)
+	return a.held == 0 || a.fits(0, false)
 }
 
 // fits reports whether the account may hold so many bytes more. The caller holds the budget's lock.
-func (a *Account) fits(bytes int64) bool {
-	return (a.held+bytes)*freeUnitsPerHeldUnit <= a.holder.limit-a.holder.held
+func (a *Account) fits(bytes int64, reserved bool) bool {
+	h := a.holder
+	free := h.limit - h.held - bytes
+	if reserved && a.held+bytes <= h.limit/max(1, h.accounts) {
+		return free >= 0
+	}
+	return free >= h.limit/reserveDivisor
+}
+
+// Close ends the account, which no longer counts for the equal part of the others. What it holds is to be released by then
+// or later.
+func (a *Account) Close() {
+	a.holder.budget.mu.Lock()
+	defer a.holder.budget.mu.Unlock()
+	a.holder.accounts--
 }
 
 // Add adds bytes to what the account holds, even beyond what it may hold.
--- a/internal/sender/memory/memory_test.go
+++ b/internal/sender/memory/memory_test.go
@@ -12,6 +12,7 @@
 	for range greedy {
 		accounts = append(accounts, holder.NewAccount())
 	}
+	small := holder.NewAccount()
 	for progress := true; progress; {
 		progress = false
 		for _, account := range accounts {
@@ -19,11 +20,11 @@
 		}
 	}
 	for _, account := range accounts {
-		if least := int64(limit / (freeUnitsPerHeldUnit + greedy) / 2); account.held < least {
+		if least := int64(limit / (4 + greedy) / 2); account.held < least {
 			t.Errorf("an account holds %d bytes, want at least %d", account.held, least)
 		}
 	}
-	if small := holder.NewAccount(); !small.Take(4 << 10) {
+	if !small.TakeReserved(4 << 10) {
 		t.Errorf("nothing is left for a small account; %d of %d bytes are held", budget.Held(), int64(limit))
 	}
 	for _, account := range accounts {
--- a/internal/sender/message.go
+++ b/internal/sender/message.go
@@ -21,6 +21,7 @@
 	stored                 storedBody  // where the body is in the journal
 	charged                int64       // bytes that the body holds of holders.bodies
 	accounted              bool        // the message holds messageOverhead of holders.messages
+	owner                  *client     // the client that submitted it; nil if an earlier process accepted it
 	reply                  *reply      // the client's reply; nil once it is set
 	journaled              bool        // the accepted record is written, or added to the next append
 	attempts               int         // attempts of this process
@@ -62,7 +63,7 @@
 	m.ending.kind = endClosed
 	delete(s.pending, m.ID)
 	if m.journaled {
-		s.rememberEnded(m.ID)
+		s.recentlyEnded.remember(m.ID)
 		s.journal.Add(idRecord(recClosed, m.ID))
 		s.liveBytes -= m.size + maxLaterRecordBytes
 	}
--- a/internal/sender/records.go
+++ b/internal/sender/records.go
@@ -9,7 +9,7 @@
 	"flaxcove/choice"
 )
 
-// These are the kinds of records. The kind is the first byte of a record; except in recPurge and recClock, the message's id
+// These are the kinds of records. The kind is the first byte of a record; except in recPurge, recEnded and recClock, the message's id
 // follows.
 const (
 	recAccepted = 'T' // a message, with its deadline on the wall clock and the time from its acceptance to its deadline
@@ -18,6 +18,7 @@
 	recEnding   = 'E' // an ending that has to be reported to the platform
 	recClosed   = 'X' // the message is closed
 	recPurge    = 'P' // an applied purge: its Seq and its result
+	recEnded    = 'F' // hashes of the ids of closed messages whose records a rewrite has left out
 	recClock    = 'C' // the wall clock was put back by at least this time; the times in earlier records are reduced by it
 )
 
--- a/internal/sender/replay.go
+++ b/internal/sender/replay.go
@@ -17,7 +17,8 @@
 
 // openJournal opens and replays the journal. It returns the messages that have not ended, in the order of their acceptance.
 func (s *Sender) openJournal() (unfinished []*message, err error) {
-	s.pending, s.recentlyEnded = map[choice.MessageID]*message{}, map[choice.MessageID]struct{}{}
+	s.pending = map[choice.MessageID]*message{}
+	s.recentlyEnded.init(s.holders.rememberedBytes)
 	limit := int64(s.cfg.Limits.DiskMB * 1e6)
 	j, dropped, err := journal.Open(s.cfg.StateDir, limit, s.replayRecord)
 	if err != nil {
@@ -90,6 +91,8 @@
 	switch kind := record[0]; kind {
 	case recPurge:
 		s.replayPurge(record)
+	case recEnded:
+		s.recentlyEnded.replay(record[1:])
 	case recClock:
 		if back := choice.Time(r.readNumber()); !r.invalid && back > 0 {
 			s.shiftBack(back)
@@ -155,7 +158,7 @@
 	case recClosed:
 		m.ending.kind = endClosed
 		delete(s.pending, m.ID)
-		s.rememberEnded(m.ID)
+		s.recentlyEnded.remember(m.ID)
 	}
 }
 
--- a/internal/sender/replies.go
+++ b/internal/sender/replies.go
@@ -29,6 +29,7 @@
 func (s *Sender) setReply(r *reply, text []byte) {
 	r.text = text
 	c := r.client
+	c.outputAccount.Add(int64(len(text)))
 	for len(c.replies) > 0 && c.replies[0].text != nil {
 		c.output = append(c.output, c.replies[0].text...)
 		c.outputReplies += c.replies[0].commands
@@ -63,6 +64,18 @@
 	s.setReply(r, busyText(ms))
 }
 
+// answerLong answers a command that changes nothing with a text of any length, or -BUSY if the client has too many answers
+// that it has not read.
+func (s *Sender) answerLong(r *reply, text []byte) {
+	account, size := r.client.outputAccount, int64(len(text))
+	if !account.Take(size) {
+		s.answerBusy(r, s.longestReturnMS())
+		return
+	}
+	s.setReply(r, text)
+	account.Release(size) // setReply has added it
+}
+
 // answerDropped rejects commands that were dropped because the input budget or the client's queue was full.
 func (s *Sender) answerDropped(c *client, commands int) {
 	r := s.reserveReply(c)
@@ -87,12 +100,15 @@
 	switch {
 	case c.disconnected:
 		c.releaseWindow(c.outputReplies)
+		c.outputAccount.Release(int64(len(c.output)))
 		c.output, c.outputReplies = nil, 0
 		s.resumeQueue(c)
 	case c.writingReplies > 0: // onFlushed calls flushReplies again
 	case len(c.output) > 0:
 		text := c.output
 		c.output, c.writingReplies, c.outputReplies = nil, c.outputReplies, 0
+		c.writingBytes = int64(len(text)) * writtenCopies
+		c.outputAccount.Add(c.writingBytes - int64(len(text)))
 		go func() {
 			_, err := c.conn.Write(text)
 			s.post(func() { s.onFlushed(c, err) })
@@ -115,11 +131,12 @@
 func (s *Sender) onFlushed(c *client, err error) {
 	c.idleSince.Store(max(1, int64(s.sinceStart())))
 	c.releaseWindow(c.writingReplies)
-	c.writingReplies = 0
+	c.outputAccount.Release(c.writingBytes)
+	c.writingReplies, c.writingBytes = 0, 0
 	if err != nil {
 		c.disconnected = true
 		c.conn.Close()
 	}
 	s.flushReplies(c)
-	s.handleQueue(c)
+	s.resumeQueue(c)
 }
--- a/internal/sender/restart_test.go
+++ b/internal/sender/restart_test.go
@@ -140,18 +140,24 @@
 }
 
 // An id that is submitted again after its end is answered +OK, also after a kill, and a non-idempotent message never runs
-// again. At most maxRememberedEnded ids are remembered.
+// again, also after a rewrite of the journal and a flood of other messages. The number of ids that are remembered is bounded.
 func Example_endedID() {
 	const text = "OUT.ADD 00 or c=order,d=20000,dest=1 x"
 	h := start("", 100).submit(text).endpointAnswers(answerOK).submit(text).printPending()
 	fmt.Println("killed")
+	again := start(h.dir, 100).submit(text).printPending()
+	fmt.Println("rewritten and killed:", again.s.rewriteJournal())
 	start(h.dir, 100).submit(text).printPending()
 	os.RemoveAll(h.dir)
-	for i := range 3 * maxRememberedEnded {
-		h.s.rememberEnded(choice.MessageID(fmt.Sprint(i)))
+	ended := &h.s.admission.recentlyEnded
+	for i := range 3 * minRememberedEnded {
+		ended.remember(choice.MessageID(fmt.Sprint(i)))
 	}
-	_, oldest := h.s.admission.recentlyEnded[choice.MessageID(fmt.Sprint(2*maxRememberedEnded))]
-	fmt.Println(len(h.s.admission.recentlyEnded) == maxRememberedEnded, oldest)
+	fmt.Println(ended.has("or"))
+	for i := range 3 * ended.limit {
+		ended.remember(choice.MessageID(fmt.Sprint(i)))
+	}
+	fmt.Println(len(ended.known) == ended.limit, ended.has(choice.MessageID(fmt.Sprint(2*ended.limit))), ended.has("or"))
 	// Output:
 	// call a: POST /inbox
 	//    or
@@ -161,7 +167,11 @@
 	// killed
 	// client: +OK
 	// owed: 0 to the platform: 0
-	// true true
+	// rewritten and killed: <nil>
+	// client: +OK
+	// owed: 0 to the platform: 0
+	// true
+	// true true false
 }
 
 // FuzzReplay checks that no record crashes a start, and that the messages pending after it can be written and read again.
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -99,6 +99,7 @@
 	s.numbering = directory.NameNumbers{Zones: cfg.ZoneNumbers, Kinds: cfg.KindNumbers}
 	limited := s.withSystemLimits(cfg)
 	s.holders.init(cfg.Limits)
+	s.reading.clock = clock
 	s.clientFrontend.init(limited)
 	s.routing.init()
 	s.linkPool.init(limited, s.clients.maxConns)
--- a/internal/sender/storeddata_test.go
+++ b/internal/sender/storeddata_test.go
@@ -65,7 +65,7 @@
 // the same when fields are renamed.
 func readStart(s *Sender) storedStart {
 	unlisted := s.learned["unlisted"]
-	_, ended := s.admission.recentlyEnded["over"]
+	ended := s.admission.recentlyEnded.has("over")
 	start := storedStart{EndingsToPost: len(s.endings), Ended: ended, Purges: map[uint64]clusterapi.PurgeResult{}, HighestPurge: s.durableSeq.Load(),
 		Learned: s.choice.LearnedState("a"), Unlisted: unlisted.LearnedState, UnlistedAddr: unlisted.Addr,
 		UnlistedDestination: unlisted.Destination, LearnedAt: sinceClockStart(s.learnedAt)}
@@ -156,7 +156,6 @@
 	if err := s.rewriteJournal(); err != nil {
 		t.Fatal(err)
 	}
-	want.Ended = false // a rewritten journal does not hold the ids of ended messages
 	if diff := cmp.Diff(want, readStart(startStored(t, dir))); diff != "" {
 		t.Errorf("after a rewrite (-stored +read):\n%s", diff)
 	}
