Sender: an endpoint that was started again is another one

What callers saw: a new process came up at the address of one that had gone and was taken for it. A call on a connection to the old process, which had vanished without a word, ended as one that may have run.

Cause: the list tells when each endpoint started (started_ms), and nothing read it: the id, the address and the destination made the identity. Learned state was kept by id, address and destination.

Change: an entry with a later start describes another endpoint of the same id. Its idle connections are closed, calls that were dialled to the old one are not sent, and learned state of the old one is not used, also from a file of an older version that was written before the start. An entry without the field changes nothing.

Looked at, unchanged: notes between senders carry only what an endpoint answered, whoever sends them. Connections to discovery end with their process, and a SIGHUP asks a new address from version 0. Not looked at: a new agent at the old address whose versions are lower, and the addresses of members and voters in a cluster.

--- a/internal/directory/list.go
+++ b/internal/directory/list.go
@@ -25,6 +25,9 @@
 	Destination float64 `json:"cell"`
 	State       string  `json:"state"` // up, draining or removed
 	Weight      float64 `json:"weight"`
+	// StartedMS is the Unix time in milliseconds at which the endpoint last started; 0 for long ago. With the address it tells
+	// one process from the next.
+	StartedMS float64 `json:"started_ms"`
 }
 
 // NameNumbers converts names of zones and kinds in the list into the numbers that package choice uses.
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -101,11 +101,15 @@
 // updateEndpoint applies one entry, and adds to it the learned state of an earlier process. listed is the same entry as
 // discovery sent it.
 func (s *Sender) updateEndpoint(entry *choice.Entry, listed directory.Entry) {
-	entry.LearnedState = s.takeLearned(*entry, listed.Addr)
+	entry.LearnedState = s.takeLearned(*entry, listed)
 	e := s.endpoints[entry.Endpoint]
-	if e != nil && (listed.Addr != e.addr || entry.Destination != e.destination) {
-		// The entry describes another endpoint with the same id. Connections to the old endpoint, and calls that wait for
-		// one, belong to its old address or destination: they stay with the old endpoint, which is dropped after them.
+	if e != nil && listed.StartedMS == 0 {
+		listed.StartedMS = e.listed.StartedMS // an entry without the field
+	}
+	if e != nil && (listed.Addr != e.addr || entry.Destination != e.destination || listed.StartedMS > e.listed.StartedMS) {
+		// The entry describes another endpoint with the same id, or a new process of it. Connections to the old endpoint, and
+		// calls that wait for one, belong to its old address, destination or process: they stay with the old endpoint, which is
+		// dropped after them.
 		e.gone = true
 		s.closeIdleLinks(e, endpointMoved)
 		e = nil
--- a/internal/sender/learned_state.go
+++ b/internal/sender/learned_state.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"flaxcove/choice"
+	"flaxcove/internal/directory"
 	"flaxcove/internal/journal"
 )
 
@@ -31,12 +32,13 @@
 	maxLearnedCalls = 1e15
 )
 
-// learnedEntry is the learned state of one endpoint in the file. It applies to an endpoint of the same id, destination and
-// address.
+// learnedEntry is the learned state of one endpoint in the file. It applies to an endpoint of the same id, destination,
+// address and start time.
 type learnedEntry struct {
 	Endpoint    choice.EndpointID    `json:"endpoint"`
 	Destination choice.DestinationID `json:"destination"`
 	Addr        string               `json:"addr"`
+	StartedMS   float64              `json:"started_ms,omitempty"` // not in files of older versions
 	choice.LearnedState
 }
 
@@ -87,16 +89,25 @@
 // takeLearned removes and returns the learned state of an earlier process for an endpoint; nil if there is none for this
 // address and destination. It is used for the endpoint's first entry only, as it is out of date later. Its wait is reduced
 // by the time since it was written.
-func (s *Sender) takeLearned(e choice.Entry, addr string) *choice.LearnedState {
+func (s *Sender) takeLearned(e choice.Entry, listed directory.Entry) *choice.LearnedState {
 	entry, known := s.learned[e.Endpoint]
 	delete(s.learned, e.Endpoint)
-	if !known || entry.Addr != addr || entry.Destination != e.Destination {
+	if !known || entry.Addr != listed.Addr || s.startedSince(entry, listed) || entry.Destination != e.Destination {
 		return nil
 	}
 	entry.Wait = max(0, entry.Wait-max(0, s.Now()-s.learnedAt))
 	return &entry.LearnedState
 }
 
+// startedSince reports whether an endpoint was started again after what was learned of it. Files of older versions have no
+// start time, but the time at which they were written.
+func (s *Sender) startedSince(entry learnedEntry, listed directory.Entry) bool {
+	if entry.StartedMS > 0 {
+		return listed.StartedMS > entry.StartedMS
+	}
+	return listed.StartedMS > float64(s.learnedAt)/float64(choice.Millisecond)
+}
+
 // deleteLearned deletes the matching destinations from the file, or a start after a kill would load them again. It returns
 // the endpoints it deleted. A file that is not JSON stays as it is, since loadLearned ignores it.
 func (s *Sender) deleteLearned(matches func(choice.DestinationID) bool) (deleted []choice.EndpointID, err error) {
@@ -143,7 +154,7 @@
 		if e.gone || l.Seen == 0 && l.Wait == 0 {
 			continue
 		}
-		entry := learnedEntry{id, e.destination, e.addr, l}
+		entry := learnedEntry{id, e.destination, e.addr, e.listed.StartedMS, l}
 		text, err := json.Marshal(entry)
 		capacity -= len(text) + 1
 		if err != nil || capacity < 0 {
