--- a/cmd/flaxcove/overload_test.go
+++ b/cmd/flaxcove/overload_test.go
@@ -90,6 +90,25 @@
 	}
 }
 
+// TestClientsConnectBesideAllLoads guards against clients that are not answered because they connect while others send as
+// much as they can in every way at once.
+func TestClientsConnectBesideAllLoads(t *testing.T) {
+	open := make(chan struct{})
+	close(open)
+	e := startEndpoint(t, "127.0.0.1:0", 5*time.Millisecond, open)
+	s := limitedSender{memoryMB: memoryLimitMB, sockets: 1024, diskMB: 300, callsOut: 15, endpoint: e.addr, state: t.TempDir()}.start(t, buildProgram(t))
+	stop := make(chan struct{})
+	wait := runAllLoads(s.listen, stop)
+	time.Sleep(usualInterval) // until the others send
+	r := runUsualClients(s.listen, usualClients, usualInterval, usualDuration)
+	close(stop)
+	wait()
+	if answered := r.sent - r.unanswered; float64(answered) < answeredShare*float64(r.sent) {
+		t.Errorf("%d of %d usual requests were answered in time", answered, r.sent)
+	}
+	s.expectMemoryWithin(t, memoryLimitMB)
+}
+
 // runAllLoads runs clients of every kind until stop is closed, and returns a function that waits for them.
 func runAllLoads(listen string, stop <-chan struct{}) (wait func()) {
 	var waits []func()
