--- a/internal/sender/accept.go
+++ b/internal/sender/accept.go
@@ -55,7 +55,7 @@
 
 // onAccept registers a new connection in the client table. netpoll calls it before it reads from the connection.
 func (s *Sender) onAccept(conn netpoll.Connection) context.Context {
-	c := &client{conn: conn, connectedAt: s.clock(), peer: conn.RemoteAddr().String(), inputTaken: make(chan struct{}, 1), reading: &s.reading,
+	c := &client{conn: conn, connectedAt: s.clock(), peer: conn.RemoteAddr().String(), inputTaken: make(chan struct{}, 1), reading: &s.reading, received: conn.Reader(),
 		inputAccount: s.holders.input.NewAccount(), outputAccount: s.holders.output.NewAccount()}
 	conn.SetWriteTimeout(clientWriteTimeout)
 	conn.AddCloseCallback(func(netpoll.Connection) error {
--- a/internal/sender/client_input.go
+++ b/internal/sender/client_input.go
@@ -44,7 +44,7 @@
 		runtime.Gosched() // the task goes first, so that it reads before more input arrives
 		return
 	}
-	if c.conn.Reader().Len() == 0 {
+	if c.received.Len() == 0 {
 		go task()
 		return
 	}
--- a/internal/sender/clients.go
+++ b/internal/sender/clients.go
@@ -64,15 +64,16 @@
 // connection, one at a time; others belong to the loop. Fields that both use are atomic or guarded by stateLock.
 type client struct {
 	conn         netpoll.Connection
-	peer         string        // remote address
-	unanswered   atomic.Int64  // number of commands that the reader has counted and whose answers are not written
-	reading      *readingTurn  // of clientFrontend
-	inputTaken   chan struct{} // gets an element when the reader has parsed its input
-	readerBusy   atomic.Bool   // the reader is running
-	left         atomic.Bool   // the connection has ended, whoever has ended it
-	partialSince atomic.Int64  // time on the sender's clock since which a command is incomplete; 0 if none is
-	idleSince    atomic.Int64  // time on the sender's clock of the last answer written; 0 before the first answer
-	ignoreInput  atomic.Bool   // input is no longer parsed, for example after a malformed command
+	peer         string         // remote address
+	unanswered   atomic.Int64   // number of commands that the reader has counted and whose answers are not written
+	reading      *readingTurn   // of clientFrontend
+	received     netpoll.Reader // input that netpoll has read; never replaced
+	inputTaken   chan struct{}  // gets an element when the reader has parsed its input
+	readerBusy   atomic.Bool    // the reader is running
+	left         atomic.Bool    // the connection has ended, whoever has ended it
+	partialSince atomic.Int64   // time on the sender's clock since which a command is incomplete; 0 if none is
+	idleSince    atomic.Int64   // time on the sender's clock of the last answer written; 0 before the first answer
+	ignoreInput  atomic.Bool    // input is no longer parsed, for example after a malformed command
 
 	// stateLock guards this group of fields. It is taken after all other locks. A goroutine that changes one of these
 	// fields also holds the table's lock, except for writeClosed.
