Sender: what an accepted message keeps in memory is what it is counted with

What operators would have seen: 1,200 accepted messages with bodies of one byte and lists of 60,000 bytes of fields that no page names took a sender with a limit of 64 MB to 157 MB; with tenants of 60,000 bytes to 87 MB. Found by reading the change again; nobody reported it.

Cause: the class's name, the tenant and the key were parts of the list's text, and the body a part of the command's, so a message kept both in memory while it was counted with its record. Its texts were not counted once its body was dropped.

Fix: the fields and the body are copies, the body only once the message is admitted; the texts count in the holder of messages. The parser's arguments no longer keep the last command of an idle client.

--- a/internal/sender/bodies.go
+++ b/internal/sender/bodies.go
@@ -3,7 +3,10 @@
 // This file bounds the memory of accepted messages. It owns what each message holds of the memory budget, and decides which
 // bodies are in memory and which only in the journal. A body leaves memory only once its record is written.
 
-import "slices"
+import (
+	"bytes"
+	"slices"
+)
 
 // storedBody is the place of a message's body in the journal's file.
 type storedBody struct {
@@ -19,22 +22,28 @@
 	return m.stored.size
 }
 
+// memory returns the memory in bytes that a message takes without its body. The fields it counts never change.
+func (m *message) memory() int64 {
+	return messageOverhead + int64(len(m.ID)+len(m.key)+len(m.idempotencyKey)+len(m.className)+len(m.tenant))
+}
+
 // takeMessage takes memory for a message that is about to be accepted, and reports whether there is room for it.
 func (s *Sender) takeMessage(m *message) bool {
-	if !s.holders.messages.TakeSpare(messageOverhead) {
+	if !s.holders.messages.TakeSpare(m.memory()) {
 		return false
 	}
-	if !s.holders.bodies.TakeSpare(m.size) { // the body shares its memory with the other arguments of the command
-		s.holders.messages.Release(messageOverhead)
+	if !s.holders.bodies.TakeSpare(m.size) { // the body, and the little that its record takes besides
+		s.holders.messages.Release(m.memory())
 		return false
 	}
 	m.accounted, m.charged = true, m.size
+	m.body = bytes.Clone(m.body) // it was a part of the command, and kept all of that in memory
 	return true
 }
 
 // addMessageMemory counts the memory of a message that an earlier process has accepted.
 func (s *Sender) addMessageMemory(m *message) {
-	s.holders.messages.Add(messageOverhead)
+	s.holders.messages.Add(m.memory())
 	m.accounted = true
 }
 
@@ -42,7 +51,7 @@
 func (s *Sender) releaseMessage(m *message) {
 	s.disown(m)
 	if m.accounted {
-		s.holders.messages.Release(messageOverhead)
+		s.holders.messages.Release(m.memory())
 		m.accounted = false
 	}
 }
--- a/internal/sender/client_input.go
+++ b/internal/sender/client_input.go
@@ -121,6 +121,7 @@
 		c.args = args
 		c.partialSince.Store(0)
 		c.setUnparsed(0)
+		clear(c.args) // they would keep the input in memory
 		return took, s.queueCommand(c, input[:took])
 	case err == nil && len(input) > maxInput:
 		err = resp.ErrLength
--- a/internal/sender/holders.go
+++ b/internal/sender/holders.go
@@ -29,7 +29,7 @@
 	requestCopies     = 2 // copies of a request that exist while it is built
 	writtenCopies     = 2 // copies of an answer that exist while it is written: netpoll has one
 	freeAnswerBytes   = 4 << 10
-	messageOverhead   = 2 << 10 // memory in bytes of an accepted message without its body, in all tables and timers
+	messageOverhead   = 2 << 10 // memory in bytes of an accepted message in all tables and timers, without its texts
 )
 
 // holders are the uses of memory that are accounted for.
--- a/internal/sender/message_parse.go
+++ b/internal/sender/message_parse.go
@@ -55,18 +55,18 @@
 	return m, nil
 }
 
-// parseFields parses name=value pairs separated by commas. It sets the string fields of m and returns the numeric ones.
-// Unknown names are ignored.
+// parseFields parses name=value pairs separated by commas. It sets the string fields of m, to copies that do not keep the
+// list in memory, and returns the numeric ones. Unknown names are ignored.
 func (m *message) parseFields(list string) messageFields {
 	f := messageFields{deadlineMS: -1, destination: -1}
 	for pair := range strings.SplitSeq(list, ",") {
 		switch name, value, _ := strings.Cut(pair, "="); name {
 		case "c":
-			m.className = value
+			m.className = strings.Clone(value)
 		case "k":
-			m.idempotencyKey = value
+			m.idempotencyKey = strings.Clone(value)
 		case "t":
-			m.tenant = value
+			m.tenant = strings.Clone(value)
 		case "d":
 			f.deadlineMS = parseDecimal(value)
 		case "dest":
