--- a/cmd/flaxcove/helpers_test.go
+++ b/cmd/flaxcove/helpers_test.go
@@ -15,13 +15,21 @@
 const startTimeout = 30 * time.Second
 
 // TestMain runs the program itself if the test binary is started with one of the program's sub-commands as its first
-// argument, so that tests can start the program without building it.
+// argument, so that tests can start the program without building it. With overloadCommand it runs a load.
 func TestMain(m *testing.M) {
 	if len(os.Args) > 1 && slices.Contains([]string{"serve", "lab", "routes"}, os.Args[1]) {
 		main()
 		return
 	}
-	os.Exit(m.Run())
+	if len(os.Args) > 2 && os.Args[1] == overloadCommand {
+		runOverload(os.Args[2], os.Args[3:])
+		return
+	}
+	code := m.Run()
+	if loadFolder != "" {
+		os.RemoveAll(loadFolder)
+	}
+	os.Exit(code)
 }
 
 // runProgram runs the program in a folder until it exits, and returns its exit code (-1 if it did not start) and its output.
--- a/cmd/flaxcove/overload_harness_test.go
+++ b/cmd/flaxcove/overload_harness_test.go
@@ -109,7 +109,6 @@
 	addr    string
 	release chan struct{} // calls are answered once it is closed
 	delay   time.Duration
-	endless bool // calls are answered with a body without an end
 
 	mu     sync.Mutex
 	begun  map[string]time.Time // by message
@@ -142,11 +141,6 @@
 	e.begun[id] = time.Now()
 	e.bodies[id] = string(body)
 	e.mu.Unlock()
-	for part := make([]byte, 16<<10); e.endless; {
-		if _, err := w.Write(part); err != nil {
-			return
-		}
-	}
 	select {
 	case <-e.release:
 		time.Sleep(e.delay)
--- a/cmd/flaxcove/usual_clients_test.go
+++ b/cmd/flaxcove/usual_clients_test.go
@@ -72,21 +72,3 @@
 	}
 	return r
 }
-
-// runUntil starts count goroutines that call f until stop is closed, and returns a function that waits for them.
-func runUntil(stop <-chan struct{}, count int, f func(i int)) (wait func()) {
-	var all sync.WaitGroup
-	for i := range count {
-		all.Go(func() {
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-					f(i)
-				}
-			}
-		})
-	}
-	return all.Wait
-}
