Sender: the answer of a link that has ended is dropped with what it is counted with

What operators would have seen: beside endpoints that answer without end, a sender with 200 calls out took 68 MB at a limit of 64, and 57 to 61 MB at the start after a kill with 60 calls out.

Cause, by a heap profile: 29 of 31 MB were buffers of answers. A link that ends releases what its answer holds of the budget, but a timer of 250 ms (onAnswerBegun) keeps the link, and so the buffers, while new calls fill others.

Fix: the buffers go when the memory is released.

TestMemoryOfAllHoldersAtOnce has 200 calls out now (before: 60). Before: "the process took 68 MB, its limit is 64 MB".

--- a/cmd/flaxcove/overload_test.go
+++ b/cmd/flaxcove/overload_test.go
@@ -64,7 +64,7 @@
 	binary := buildProgram(t)
 	endpoint := freeAddr(t)
 	startOverload(t, endpoint, "endless=1")
-	l := limitedSender{memoryMB: memoryLimitMB, sockets: 1024, diskMB: 300, callsOut: 60, endpoint: endpoint, state: t.TempDir()}
+	l := limitedSender{memoryMB: memoryLimitMB, sockets: 1024, diskMB: 300, callsOut: 200, endpoint: endpoint, state: t.TempDir()}
 	for _, process := range []string{"the first process", "the process after a kill"} {
 		s := l.start(t, binary)
 		t.Logf("%s owes %d messages", process, s.counter("owed"))
--- a/internal/sender/endpoint_input.go
+++ b/internal/sender/endpoint_input.go
@@ -51,8 +51,7 @@
 	case l.answer.Done:
 		a := readAnswer(&l.answer)
 		a.close = a.close || l.answer.BytesAfter() > 0 // bytes after an answer would be read as the start of the next one
-		l.answer = http1.Answer{}
-		l.holdAnswer(0)
+		l.dropAnswer()
 		l.awaitingAnswer.Store(false)
 		l.answerBegun = false
 		return func() { l.sender.onAnswer(l, a) }, nil
@@ -77,6 +76,13 @@
 	return true
 }
 
+// dropAnswer drops what was received of an answer. Timers may keep the link itself for a while. It is called by netpoll's
+// callback.
+func (l *link) dropAnswer() {
+	l.answer = http1.Answer{}
+	l.holdAnswer(0)
+}
+
 // rejectInput marks the link as one whose input cannot be an answer, unless err is nil. It is called under inputLock, so
 // that no call is sent on the link after bad input and before its close.
 func (l *link) rejectInput(err error) {
@@ -104,7 +110,7 @@
 // endOfInput returns what was received of an answer before the connection ended. It is called by netpoll once the input is
 // handled and before the descriptor is closed.
 func (l *link) endOfInput() *partialAnswer {
-	defer l.holdAnswer(0)
+	defer l.dropAnswer()
 	end := &partialAnswer{status: l.answer.Status(), begun: l.answer.Started()}
 	if l.badInput.Load() || !endedInOrder(l.conn) || l.answer.End() != nil || !l.answer.Done {
 		return end
