Sender: several connections are accepted in each round of all sockets

Cause: netpoll calls Accept once for each event of the listener, which has one event in a round of all sockets. A round takes tens of milliseconds then, and connections wait in the order in which they came.

Fix: while the kernel says that connections wait (TCP_INFO of the listening socket), up to 15 eventfds make netpoll call Accept as often in the same round. They exist from the first backlog on. Without eventfds, or without that figure, all is as before.

--- a/internal/sender/accept.go
+++ b/internal/sender/accept.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"go.uber.org/zap"
 )
 
 // descriptorLimit returns the maximum number of file descriptors that the system allows this process, math.MaxInt32 if the
@@ -36,17 +37,24 @@
 	if err := syscall.SetsockoptInt(ln.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer); err != nil {
 		return errors.Join(err, ln.Close())
 	}
-	loop, err := netpoll.NewEventLoop(s.onClientInput, netpoll.WithOnPrepare(s.onAccept))
-	if err != nil {
-		return errors.Join(err, ln.Close())
-	}
-	s.listener = ln
+	s.listener = &backlogListener{Listener: ln, log: s.log, serve: s.serveListener}
 	s.after(sweepInterval, s.sweepClients)
 	// The listener stays open until the process ends, because netpoll would close its descriptor twice.
-	go loop.Serve(ln)
+	go s.serveListener(s.listener)
 	return nil
 }
 
+// serveListener serves the clients that connect to a listener.
+func (s *Sender) serveListener(ln netpoll.Listener) {
+	loop, err := netpoll.NewEventLoop(s.onClientInput, netpoll.WithOnPrepare(s.onAccept))
+	if err == nil {
+		err = loop.Serve(ln)
+	}
+	if err != nil {
+		s.log.Error("clients are no longer accepted", zap.Error(err))
+	}
+}
+
 // Addr returns the address on which the sender listens for clients.
 func (s *Sender) Addr() string { return s.listener.Addr().String() }
 
