Sender: clients that stop in the middle of a command give way to new ones

Cause: a client with an incomplete command was never displaced, so that these clients kept all places for 2.2 s and took them again, and new ones displaced usual clients between two requests.

Fix: such a client is displaced before an idle one that was answered within 2 s. Nothing is lost: it is marked as rejected, and is answered -BUSY if its command becomes whole. Only a full table displaces anybody.

--- a/cmd/flaxcove/overload_test.go
+++ b/cmd/flaxcove/overload_test.go
@@ -36,6 +36,7 @@
 		{"clients send many requests and leave with a reset", "leave=30"},
 		{"clients read no answers", "unread=100"},
 		{"clients stop half way", "half=300"},
+		{"as many clients as there are descriptors stop half way", "half=900"},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			open := make(chan struct{})
--- a/internal/sender/accept.go
+++ b/internal/sender/accept.go
@@ -109,43 +109,61 @@
 }
 
 // displaceOne releases the place of one client for a new client and returns the displaced client, or nil if no client can
-// be displaced. A client that has not been answered yet is rejected instead of closed, because its first command may be on
-// its way. The caller holds the table's lock.
+// be displaced. A client that has not been answered yet, or has begun a command, is rejected instead of closed, because the
+// command may be on its way. The caller holds the table's lock.
 func (t *clientTable) displaceOne(now time.Duration) *client {
 	for _, c := range t.displacementOrder(now) {
-		if c.idleSince.Load() != 0 && t.halfClose(c, now, displaced, false) {
+		partial := c.partialSince.Load() != 0
+		if !partial && c.idleSince.Load() != 0 && t.halfClose(c, now, displaced, false) {
 			return c
 		}
-		if c.idleSince.Load() == 0 && noInputPending(c.conn) && t.reject(c, now, displaced) {
+		if (partial || c.idleSince.Load() == 0) && noInputPending(c.conn) && t.reject(c, now, displaced) {
 			return c
 		}
 	}
 	return nil
 }
 
-// displacementOrder returns the clients that may be displaced, the first to displace first. Idle clients, whose commands
-// are answered, come before silent clients, which have not been answered since they connected; in each group the longest
-// idle or silent client comes first. Silent clients come first only if one of them has been silent for at least
-// firstInputTimeout and no client has been idle for minIdleTime. In all other cases an idle client is the better choice,
-// because it has its answers and can connect again. The caller holds the table's lock.
+// displacementOrder returns the clients that may be displaced, the first to displace first. These come one after the other, in
+// each group the longest first: clients that have been idle, with all their commands answered, for at least minIdleTime;
+// stalled clients, which have left a command incomplete, or have sent nothing for at least firstInputTimeout since they
+// connected; the other idle clients; and the other clients that have sent nothing. An idle client has its answers and can
+// connect again, but clients that stall must not take the places of those that use them. The caller holds the table's lock.
 func (t *clientTable) displacementOrder(now time.Duration) []*client {
-	var idle, silent []*client
+	var idleLong, stalled, idle, silent []displaceable
 	for c := range t.all {
+		idleSince, partialSince := time.Duration(c.idleSince.Load()), time.Duration(c.partialSince.Load())
 		switch {
-		case c.lingering || !c.idle():
-		case c.idleSince.Load() == 0:
-			silent = append(silent, c)
+		case c.lingering:
+		case partialSince != 0:
+			if c.unanswered.Load() == 0 && !c.readerBusy.Load() {
+				stalled = append(stalled, displaceable{c, partialSince})
+			}
+		case !c.idle():
+		case idleSince == 0 && now-c.connectedAt >= firstInputTimeout:
+			stalled = append(stalled, displaceable{c, c.connectedAt})
+		case idleSince == 0:
+			silent = append(silent, displaceable{c, c.connectedAt})
+		case now-idleSince >= minIdleTime:
+			idleLong = append(idleLong, displaceable{c, idleSince})
 		default:
-			idle = append(idle, c)
+			idle = append(idle, displaceable{c, idleSince})
 		}
 	}
-	slices.SortFunc(silent, func(a, b *client) int { return cmp.Compare(a.connectedAt, b.connectedAt) })
-	slices.SortFunc(idle, func(a, b *client) int { return cmp.Compare(a.idleSince.Load(), b.idleSince.Load()) })
-	silentTooLong := len(silent) > 0 && now-silent[0].connectedAt >= firstInputTimeout
-	if silentTooLong && len(idle) > 0 && now-time.Duration(idle[0].idleSince.Load()) < minIdleTime {
-		return append(silent, idle...)
+	var order []*client
+	for _, group := range [][]displaceable{idleLong, stalled, idle, silent} {
+		slices.SortFunc(group, func(a, b displaceable) int { return cmp.Compare(a.since, b.since) })
+		for _, d := range group {
+			order = append(order, d.client)
+		}
 	}
-	return append(idle, silent...)
+	return order
+}
+
+// displaceable is a client that may be displaced, and since when it has been idle, silent or in the middle of a command.
+type displaceable struct {
+	client *client
+	since  time.Duration
 }
 
 // longestLingering returns the client that has been lingering longest, or nil if none is lingering. Rejected clients, whose
