Bulk calls: package choice bounds their bodies at 64 KiB, and the host sends each call as it was counted

Cause: a call was full when it had as many messages as its kind takes. Nothing counted the bytes of the body, neither Sender.Attempt in internal/sender/host.go nor choice. The two also counted the messages of a call each for itself: choice by the kind of the destination, the host by the kind of the endpoint's entry.

Fix: a message tells choice what it adds to the body of a bulk call (Message.BulkBytes: texts, id, key and Base64, with the separator), and Settings.MaxBulkBytes bounds the sum. choice decides which messages share a call and gives the call an id (Host.Attempt); the host sends exactly that call. So a message that fits into no call of the turn takes a call of its own out of the in-flight limit, the slow start budget, the rate limit and the retry queue, or waits. All calls of a turn stay open to what fits (first fit), and smaller messages behind a large one that can't be sent may join them. The bound is exact: a body of 65,536 bytes is sent, and messages that fit alone but not in Base64 go to /inbox as they are. The number of messages is that of the endpoint's own kind now.

Evidence: TestBulkBodyLimit and TestBulkBodies (drawn sizes, ids and keys) failed on ("/inbox/bulk with a body of 65537 bytes", "... 65540 bytes") and pass now. TestLargeMessagesCountAsCalls: a load of messages too large to share calls makes the same decisions, line by line, as one of a kind without bulk calls. TestBulkCallsHoldWhatFits: no call is split without need, and the order of keys is kept. TestConfigureTakesEffect checked the host's copy of the number of messages; the copy is gone, and TestConfigureBulkCalls checks the calls themselves.

--- a/choice/allowed_test.go
+++ b/choice/allowed_test.go
@@ -55,9 +55,9 @@
 }
 
 // A message that may use an endpoint with capacity is sent even if newer messages in its queue may not use it. It waits
-// if maxDisallowedScanned or more newer messages may not.
+// if maxScanned or more newer messages may not.
 func ExampleSender_allowedBehind() {
-	for _, newer := range []int{maxDisallowedScanned - 1, maxDisallowedScanned} {
+	for _, newer := range []int{maxScanned - 1, maxScanned} {
 		set := testSettings()
 		set.InFlightLimit = 40
 		host := startTwoZones(set)
--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -1,8 +1,6 @@
 package choice
 
 const (
-	// bulkMemberCost is what each further message of a bulk call costs the slow start budget. The call itself costs 1.
-	bulkMemberCost = 0.15
 	// timeoutDeviations is the margin of a time-out above the mean call time, in mean absolute deviations.
 	timeoutDeviations = 10.0
 	// finalTimeoutFactor multiplies the time-out of a non-idempotent message, which ends at its first time-out, if the
@@ -13,24 +11,22 @@
 	reusedResetLimit = 0.05
 )
 
-// attempt sends a message to an endpoint, in the bulk call of this turn or in a new call.
+// attempt sends a message to an endpoint, in a call of this turn that it can join or in a new call.
 func (s *Sender) attempt(msg *message, ep *endpoint) {
 	s.dequeue(msg)
 	if s.class(msg).Repeat == NonIdempotent && s.reusedResetShare > reusedResetLimit {
 		s.host.CloseIdle(ep.id)
 	}
 	s.assumeKindTimes(ep)
-	if s.bulkCallOpen(ep) {
+	call := s.joinableCall(msg, ep)
+	if call != nil {
 		ep.slowStart.tokens -= bulkMemberCost
 	} else {
-		s.openCall(msg, ep)
+		call = s.openCall(msg, ep)
 	}
-	call := ep.bulkCall
-	call.messages++
-	call.pending++
-	msg.inFlight = call
+	s.addToCall(msg, call)
 	msg.attempts++
-	s.host.Attempt(msg.ID, ep.id, s.attemptTimeout(msg, ep))
+	s.host.Attempt(msg.ID, ep.id, call.id, s.attemptTimeout(msg, ep))
 }
 
 // assumeKindTimes gives an endpoint that has no measured calls the call times of its kind, in a large fleet. With the
@@ -45,8 +41,10 @@
 }
 
 // openCall opens a call to an endpoint for a message, and counts it against every limit that applies.
-func (s *Sender) openCall(msg *message, ep *endpoint) {
+func (s *Sender) openCall(msg *message, ep *endpoint) *call {
+	s.lastCall++
 	call := &call{
+		id:            s.lastCall,
 		endpoint:      ep,
 		sentAt:        s.now,
 		turn:          s.turnNumber,
@@ -59,7 +57,6 @@
 	if call.rejectedRetry {
 		msg.destination.rejectedRetriesInFlight++
 	}
-	ep.bulkCall = call
 	ep.inFlight++
 	ep.slowStart.tokens--
 	ep.route.limiter.tokens--
@@ -69,6 +66,7 @@
 	ep.probePassed = false
 	ep.nextTrial = s.now + 2*ep.trialPause
 	s.calls = append(s.calls, call)
+	return call
 }
 
 // sharedRateWindow returns the window of meters that count only this sender's events. It grows with the number of
--- a/choice/capacity_test.go
+++ b/choice/capacity_test.go
@@ -16,16 +16,16 @@
 	timer TimerID
 }
 
-func (h *silentHost) Now() Time                           { return h.clock }
-func (h *silentHost) Allowed(MessageID, EndpointID) bool  { return true }
-func (h *silentHost) Attempt(MessageID, EndpointID, Time) {}
-func (h *silentHost) Shed(MessageID, Time)                {}
-func (h *silentHost) Fail(MessageID)                      {}
-func (h *silentHost) Probe(EndpointID)                    {}
-func (h *silentHost) CloseIdle(EndpointID)                {}
-func (h *silentHost) BroadcastNote([]byte)                {}
-func (h *silentHost) SetTimer(_ Time, id TimerID)         { h.timer = id }
-func (h *silentHost) CancelTimer(TimerID)                 {}
+func (h *silentHost) Now() Time                                   { return h.clock }
+func (h *silentHost) Allowed(MessageID, EndpointID) bool          { return true }
+func (h *silentHost) Attempt(MessageID, EndpointID, CallID, Time) {}
+func (h *silentHost) Shed(MessageID, Time)                        {}
+func (h *silentHost) Fail(MessageID)                              {}
+func (h *silentHost) Probe(EndpointID)                            {}
+func (h *silentHost) CloseIdle(EndpointID)                        {}
+func (h *silentHost) BroadcastNote([]byte)                        {}
+func (h *silentHost) SetTimer(_ Time, id TimerID)                 { h.timer = id }
+func (h *silentHost) CancelTimer(TimerID)                         {}
 
 const (
 	capacityZones     = 8
--- a/choice/configure_test.go
+++ b/choice/configure_test.go
@@ -37,6 +37,7 @@
 	"ConnIdle":                 {change: func(s *Settings) { s.ConnIdle = 20 * Second }},
 	"AnswersWhenTableFull":     {change: func(s *Settings) { s.AnswersWhenTableFull = true }, fleet: true},
 	"TurnInterval":             {change: func(s *Settings) { s.TurnInterval = 40 * Millisecond }},
+	"MaxBulkBytes":             {change: func(s *Settings) { s.MaxBulkBytes = 500 }},
 	"Rating":                   {change: func(s *Settings) { s.Rating = RatingNone }},
 	"OverloadMultiple":         {change: func(s *Settings) { s.OverloadMultiple = 0.5 }},
 	"OverloadWindow":           {change: func(s *Settings) { s.OverloadWindow = 9 * Second }},
--- a/choice/endpointlist.go
+++ b/choice/endpointlist.go
@@ -38,7 +38,7 @@
 	if ep == nil {
 		ep = s.addEndpoint(dest, entry)
 	}
-	ep.zone = entry.Zone
+	ep.kind, ep.zone = dest.kind, entry.Zone
 	ep.listed = entry.Stage == Ready
 	ep.route.rating = entry.Rating
 }
--- a/choice/fakehost_test.go
+++ b/choice/fakehost_test.go
@@ -105,7 +105,7 @@
 func (h *fakeHost) Allowed(id MessageID, ep EndpointID) bool {
 	return h.disallowed == nil || !h.disallowed(id, ep)
 }
-func (h *fakeHost) Attempt(id MessageID, to EndpointID, timeOut Time) {
+func (h *fakeHost) Attempt(id MessageID, to EndpointID, _ CallID, timeOut Time) {
 	h.attempts[id]++
 	h.printf("attempt %s to %s", id, to)
 }
--- a/choice/fleetmodel_test.go
+++ b/choice/fleetmodel_test.go
@@ -163,7 +163,7 @@
 	})
 }
 
-func (h *senderHost) Attempt(id MessageID, to EndpointID, timeOut Time) {
+func (h *senderHost) Attempt(id MessageID, to EndpointID, _ CallID, timeOut Time) {
 	h.attempts[id]++
 	aware := h.sender.impaired(h.sender.endpoints[to])
 	o := Outcome{Message: id, Attempt: h.attempts[id] - 1, Endpoint: to, Result: ConnectFailed}
--- a/choice/host.go
+++ b/choice/host.go
@@ -36,6 +36,8 @@
 	PeerNo int
 	// OrderKey identifies messages that are delivered one after another.
 	OrderKey int64
+	// CallID identifies a call. It is unique over the lifetime of a Sender.
+	CallID int64
 	// TimerID identifies a timer that a Sender has set.
 	TimerID int64
 )
@@ -50,9 +52,10 @@
 	// Allowed reports whether a message may currently use an endpoint. It is called for every endpoint considered, so
 	// it must take no more than nanoseconds.
 	Allowed(msg MessageID, ep EndpointID) bool
-	// Attempt sends a message to an endpoint. Attempts of one turn to the same endpoint share a bulk call. The host
-	// passes the outcome to Sender.AttemptEnded, at the latest when the time-out expires.
-	Attempt(msg MessageID, to EndpointID, timeOut Time)
+	// Attempt sends a message to an endpoint in the call with the given id. All attempts with that id are made in one
+	// turn and to one endpoint, and the host sends them in one call: the Sender has counted it against every limit of
+	// the endpoint. The host passes the outcome to Sender.AttemptEnded, at the latest when the time-out expires.
+	Attempt(msg MessageID, to EndpointID, in CallID, timeOut Time)
 	// Shed ends a message that certainly never ran. retryIn is the time after which the client may retry, or 0 for no
 	// such time.
 	Shed(msg MessageID, retryIn Time)
--- a/choice/inputs.go
+++ b/choice/inputs.go
@@ -43,6 +43,9 @@
 	Key         OrderKey  // NoKey for none
 	Deadline    Time      // on the host's clock
 	Destination DestinationID
+	// BulkBytes is the number of bytes that the message adds to the body of a bulk call, its separator included; 0 if
+	// the host doesn't know it.
+	BulkBytes int
 	// AcceptedLifetime is the time that the message had until its deadline when an earlier incarnation accepted it. It
 	// is 0 for new messages from a client, which may still be rejected. A restarted sender uses it so as not to shed
 	// much of a full backlog, or messages whose time was short from the start.
@@ -88,15 +91,16 @@
 
 // Outcome is how one attempt ended.
 type Outcome struct {
-	Message    MessageID
-	Attempt    int // number of the attempt, starting at 0
-	Endpoint   EndpointID
-	Duration   Time
-	Final      bool // the message needs no further answer
-	Result     Result
-	RetryAfter Time   // Retry-After of the answer, or 0 for none
-	NoSlot     bool   // with NotRun: the sender had no free slot
-	Report     Report // information about the rate limit
-	Reused     bool   // the connection had carried another call before, as far as the host knows
-	Closed     bool   // the endpoint closed the connection with the answer, as far as the host knows
+	Message     MessageID
+	Attempt     int // number of the attempt, starting at 0
+	Endpoint    EndpointID
+	Duration    Time
+	Final       bool // the message needs no further answer
+	Result      Result
+	RetryAfter  Time   // Retry-After of the answer, or 0 for none
+	NoSlot      bool   // with NotRun: the sender had no free slot
+	Report      Report // information about the rate limit
+	Reused      bool   // the connection had carried another call before, as far as the host knows
+	Closed      bool   // the endpoint closed the connection with the answer, as far as the host knows
+	FormRefused bool   // the endpoint can't take the request as it was sent, so it must not be repeated unchanged
 }
--- a/choice/loadhost_test.go
+++ b/choice/loadhost_test.go
@@ -69,10 +69,10 @@
 func (h *loadHost) Now() Time                          { return h.clock }
 func (h *loadHost) Allowed(MessageID, EndpointID) bool { return true }
 
-func (h *loadHost) Attempt(id MessageID, to EndpointID, timeOut Time) {
+func (h *loadHost) Attempt(id MessageID, to EndpointID, in CallID, timeOut Time) {
 	h.attempts[id]++
-	h.log("attempt %s to %s within %d", id, to, timeOut)
-	h.checkAttempt(h.sender.messages[id], h.sender.endpoints[to])
+	h.log("attempt %s to %s in %d within %d", id, to, in, timeOut)
+	h.checkAttempt(h.sender.messages[id], h.sender.endpoints[to], in)
 	took := 50*Millisecond + Time(hashFraction(id, h.attempts[id], "took")*float64(300*Millisecond))
 	o := Outcome{Message: id, Attempt: h.attempts[id] - 1, Endpoint: to, Duration: took, Final: true}
 	if d := h.sender.endpoints[to].destination.id; d == 1 { // the destination that reports its limit
@@ -101,7 +101,7 @@
 }
 
 // checkAttempt checks an attempt against the current settings.
-func (h *loadHost) checkAttempt(msg *message, ep *endpoint) {
+func (h *loadHost) checkAttempt(msg *message, ep *endpoint, in CallID) {
 	set, class := h.sender.settings, h.sender.class(msg)
 	check := func(ok bool, failure string) {
 		h.t.Helper()
@@ -110,7 +110,10 @@
 		}
 	}
 	check(h.answers[msg.ID] == 0, "attempt of an answered message")
-	calls, carried := len(h.sender.calls), ep.bulkCall.messages
+	calls, call := len(h.sender.calls), msg.inFlight
+	carried := call.messages
+	check(call.id == in && call.endpoint == ep, "the call named is not the one counted")
+	check(carried == 1 || set.MaxBulkBytes == 0 || call.bytes <= set.MaxBulkBytes, "bulk call exceeds MaxBulkBytes")
 	check(carried > 1 || calls <= set.InFlightLimit, fmt.Sprint(calls, " calls in flight, limit ", set.InFlightLimit))
 	bulkMax := ep.destination.kind.BulkMax
 	check(carried <= max(1, bulkMax), "bulk call exceeds BulkMax")
@@ -214,7 +217,7 @@
 		h.schedule(at, -1, func() {
 			set := h.sender.settings
 			msg := Message{ID: id, Class: ClassNo(class % len(set.Classes)), Account: AccountNo(account % len(set.Quotas)),
-				Key: OrderKey(class % 7), Destination: DestinationID(class / 2 % 2)}
+				Key: OrderKey(class % 7), Destination: DestinationID(class / 2 % 2), BulkBytes: 100 * (1 + class%5)}
 			msg.Deadline = h.clock + set.Classes[msg.Class].Deadline
 			before := len(h.sender.messages)
 			h.sender.Accept(msg)
--- a/choice/outcomes.go
+++ b/choice/outcomes.go
@@ -12,6 +12,7 @@
 	msg.inFlight = nil
 	msg.lastEndpoint = call.endpoint
 	msg.rejected = o.Result == Rejected
+	msg.alone = msg.alone || o.FormRefused
 	s.learnFromAttempt(msg, call, o)
 	call.pending--
 	if call.pending == 0 {
--- a/choice/selection.go
+++ b/choice/selection.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// maxDisallowedScanned is the number of messages of a queue that are examined at most when the first ones are not
-	// allowed to use the available endpoints but later ones may be.
-	maxDisallowedScanned = 16
+	// maxScanned is the number of messages of a queue that are examined at most when the first ones can't be sent for a
+	// reason that may not apply to later ones.
+	maxScanned = 16
 	// valueEpsilon is added to the value of messages, so that those without value are ranked by their call time as
 	// well.
 	valueEpsilon = 1e-6
@@ -62,18 +62,18 @@
 }
 
 // newestSendable returns the newest message of a queue and an endpoint that it can go to, or nil if no endpoint can
-// take it. If it is not allowed to use the available endpoints, some older messages are tried, as they may be allowed
-// to.
+// take it. If it is not allowed to use the available endpoints, or too large for the calls that are open, some older
+// messages are tried, as this may not apply to them.
 func (s *Sender) newestSendable(dest *destination, queue *list.List) (*message, *endpoint) {
 	element := queue.Back()
-	for scanned := 0; element != nil && scanned < maxDisallowedScanned; scanned++ {
+	for scanned := 0; element != nil && scanned < maxScanned; scanned++ {
 		msg := element.Value.(*message)
 		bulkOnly := msg.rejected && dest.rejectedRetriesInFlight >= s.maxRejectedRetries
-		ep, disallowed := s.selectEndpoint(msg, bulkOnly)
+		ep, othersMayGo := s.selectEndpoint(msg, bulkOnly)
 		if ep != nil {
 			return msg, ep
 		}
-		if !disallowed {
+		if !othersMayGo {
 			return nil, nil
 		}
 		element = element.Prev()
@@ -81,23 +81,26 @@
 	return nil, nil
 }
 
-// selectEndpoint returns the endpoint that a message can go to now, or nil, and whether it is not allowed to use some
-// endpoints. With bulkOnly, no new call may be opened for it.
+// selectEndpoint returns the endpoint that a message can go to now, or nil, and whether other messages of its queue may go
+// to an endpoint that it can't use. With bulkOnly, no new call may be opened for it.
 //
 // It returns the best ranked endpoint that can take the message. A message that was rejected prefers an endpoint with a
 // lower rejection share than the last one. An ejected endpoint whose trial is due comes last.
-func (s *Sender) selectEndpoint(msg *message, bulkOnly bool) (to *endpoint, disallowed bool) {
+func (s *Sender) selectEndpoint(msg *message, bulkOnly bool) (to *endpoint, othersMayGo bool) {
 	var trial, rejecting *endpoint
 	for _, ep := range msg.destination.ranked {
 		if !s.usable(msg, ep) {
 			continue
 		}
 		if !s.boundToZone(msg) && !s.host.Allowed(msg.ID, ep.id) {
-			disallowed = true
+			othersMayGo = true
 			continue
 		}
-		if s.canJoinBulkCall(ep) {
-			return ep, disallowed
+		if !ep.ejected && s.hasJoinable(ep) {
+			if s.joinableCall(msg, ep) != nil {
+				return ep, othersMayGo
+			}
+			othersMayGo = true
 		}
 		if bulkOnly || len(s.calls) >= s.settings.InFlightLimit || !s.retryBudgetAllows(msg) {
 			continue
@@ -112,16 +115,16 @@
 			continue
 		}
 		if msg.lastEndpoint == nil || ep.rejectedShare < msg.lastEndpoint.rejectedShare {
-			return ep, disallowed
+			return ep, othersMayGo
 		}
 		if rejecting == nil {
 			rejecting = ep
 		}
 	}
 	if rejecting != nil {
-		return rejecting, disallowed
+		return rejecting, othersMayGo
 	}
-	return trial, disallowed
+	return trial, othersMayGo
 }
 
 // usable reports whether an endpoint takes calls and may be sent this message.
@@ -150,17 +153,6 @@
 	return recent && s.now < s.lastAttemptAt(msg)-recentSuccessSpan
 }
 
-// canJoinBulkCall reports whether a message for an endpoint can join a call that was opened in this turn.
-func (s *Sender) canJoinBulkCall(ep *endpoint) bool {
-	return !ep.ejected && s.bulkCallOpen(ep)
-}
-
-// bulkCallOpen reports whether there is a call of this turn with room for another message.
-func (s *Sender) bulkCallOpen(ep *endpoint) bool {
-	call := ep.bulkCall
-	return call != nil && call.turn == s.turnNumber && call.messages < ep.destination.kind.BulkMax
-}
-
 // trialDue reports whether a message may be used as a trial of an ejected endpoint. Non-idempotent messages may be used
 // later than others. After a passed probe, a trial may exceed the slow start budget, provided that this budget allows
 // more than negligibleCalls.
--- a/choice/sender.go
+++ b/choice/sender.go
@@ -64,6 +64,7 @@
 	accountQuotas []tokenBucket // by AccountNo
 	timers        messageTimers
 	turnNumber    int
+	lastCall      CallID
 
 	messages           map[MessageID]*message         // open messages
 	keyQueues          map[OrderKey]*keyQueue         // of keys that have messages or are paused
--- a/choice/settings.go
+++ b/choice/settings.go
@@ -79,6 +79,7 @@
 	ConnIdle             Time // the host closes connections that have been idle for this long
 	AnswersWhenTableFull bool // an endpoint with a full connection table rejects and closes (Outcome.Closed); otherwise connecting fails
 	TurnInterval         Time // shortest time between two turns
+	MaxBulkBytes         int  // most bytes that the messages of a bulk call add to its body together; 0 for no limit
 
 	// Capacity of endpoints, and slow start after an outage.
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -21,6 +21,7 @@
 	timers       []TimerID // timers set for the message
 
 	rejected  bool // the latest attempt was rejected
+	alone     bool // must not share a call, because the endpoint could not take a call with several messages
 	ended     bool // no further attempt follows
 	overQuota bool // beyond its account's quota when accepted
 }
@@ -99,13 +100,14 @@
 	id          EndpointID
 	destination *destination
 	route       *route
+	kind        *kind // of its own list entry
 	zone        ZoneNo
 	listed      bool // the endpoint list has the endpoint as Ready
 	probing     bool // a health probe is in flight
 
 	inFlight         int     // calls in flight
 	concurrencyLimit float64 // most calls in flight, adapted by their outcomes
-	bulkCall         *call   // latest call, which other messages of the same turn may join
+	joinable         []*call // calls of one turn that further messages of the same turn may join
 	sent             rateMeter
 	slowStart        tokenBucket // limits calls while the endpoint is ejected or in slow start
 
@@ -140,9 +142,11 @@
 // call is one call to an endpoint. It carries the messages sent to the endpoint in one turn, exists until all of them
 // have their outcomes, and counts as one towards the in-flight limit.
 type call struct {
+	id       CallID
 	endpoint *endpoint
 	sentAt   Time
 	messages int // number of messages carried
+	bytes    int // sum of their Message.BulkBytes
 	pending  int // number of messages without an outcome
 	turn     int // value of Sender.turnNumber when it was sent
 
--- a/internal/drill/host.go
+++ b/internal/drill/host.go
@@ -20,8 +20,9 @@
 // Allowed allows every endpoint, since the protocol has no routing rules.
 func (s *hostedSender) Allowed(choice.MessageID, choice.EndpointID) bool { return true }
 
-// Attempt sends a message to an endpoint.
-func (s *hostedSender) Attempt(id choice.MessageID, to choice.EndpointID, timeout choice.Time) {
+// Attempt sends a message to an endpoint. The protocol has no number for a call: the simulator puts the messages of a batch
+// to one endpoint into as few calls as their kind allows.
+func (s *hostedSender) Attempt(id choice.MessageID, to choice.EndpointID, _ choice.CallID, timeout choice.Time) {
 	s.writeLine("submit_to\t%s\t%s\t%d\t%s", s.id, id, config.Nanoseconds(timeout), to)
 }
 
--- a/internal/sender/answer.go
+++ b/internal/sender/answer.go
@@ -34,6 +34,7 @@
 	reportFields []string                    // names of the load report's fields
 	states       map[choice.MessageID]string // states of a bulk call's messages; nil if the answer has none
 	close        bool                        // the connection must not carry another call
+	formRefused  bool                        // the endpoint can't take the request as it was sent
 }
 
 // resultOf returns the result for an HTTP status, and whether it is final. A call answered with a status that is not listed
@@ -52,6 +53,12 @@
 	return choice.Errored, false
 }
 
+// refusesForm reports whether an answer's status says that the endpoint can't take a request as it was sent, so that it would
+// refuse the same request again.
+func refusesForm(status int) bool {
+	return status == http.StatusBadRequest || status == http.StatusNotFound || status == http.StatusRequestEntityTooLarge
+}
+
 // bulkStates maps each state of a message in the answer to a bulk call to the HTTP status of the same meaning.
 var bulkStates = map[string]int{
 	"ok":        http.StatusOK,
@@ -65,6 +72,7 @@
 func readAnswer(h *http1.Answer) answer {
 	a := answer{close: h.Close}
 	a.result, a.final = resultOf(h.Head.Status)
+	a.formRefused = refusesForm(h.Head.Status)
 	if v := h.Get("Retry-After"); v != nil {
 		a.retryAfter = parseRetryAfter(v)
 	}
--- a/internal/sender/call.go
+++ b/internal/sender/call.go
@@ -47,8 +47,8 @@
 // startCalls begins the calls of this turn, and sends the calls whose connection was established in it.
 func (s *Sender) startCalls() {
 	s.sendConnected()
+	clear(s.startingByID)
 	for _, c := range s.starting {
-		c.endpoint.turnCall = nil
 		s.beginCall(c)
 	}
 	clear(s.starting)
--- a/internal/sender/configure.go
+++ b/internal/sender/configure.go
@@ -81,14 +81,9 @@
 	if s.cluster != nil {
 		s.digestState.includeClasses(next.Settings.Classes)
 	}
-	s.choice.Configure(next.Settings)
+	s.choice.Configure(withBodyLimit(next.Settings))
 	// Each pass over a large endpoint list blocks the loop for tens of milliseconds, so a pass is made only if its settings
 	// have changed.
-	if !slices.Equal(previous.Settings.Kinds, next.Settings.Kinds) {
-		for _, e := range s.endpoints {
-			e.bulkMax = s.bulkMaxOf(e.kind)
-		}
-	}
 	if previous.Settings.ConnIdle != next.Settings.ConnIdle {
 		for _, e := range s.endpoints {
 			s.restartIdleTimers(e)
--- a/internal/sender/configure_test.go
+++ b/internal/sender/configure_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -127,9 +128,8 @@
 	if err := h.configure(changed); err != nil {
 		t.Fatal(err)
 	}
-	a, b := h.s.endpoints["a"], h.s.endpoints["b"]
-	if a.zone != 1 || a.kind != 2 || a.bulkMax != 7 || b.bulkMax != 5 || h.s.maxLinks != 301 {
-		t.Errorf("endpoint a %+v, bulkMax of b %d, maxLinks %d", a, b.bulkMax, h.s.maxLinks)
+	if a := h.s.endpoints["a"]; a.zone != 1 || a.kind != 2 || h.s.maxLinks != 301 {
+		t.Errorf("endpoint a %+v, maxLinks %d", a, h.s.maxLinks)
 	}
 	if busy := string(*h.s.clients.busyReply.Load()); busy != "-BUSY 700\r\n" {
 		t.Errorf("rejected clients are answered %q", busy)
@@ -159,6 +159,39 @@
 	}
 }
 
+// TestConfigureBulkCalls checks that a changed limit of messages in a bulk call, and the limit of a kind that only the changed
+// settings name, apply from the next call on.
+func TestConfigureBulkCalls(t *testing.T) {
+	list := knownList(t)
+	list.Entries[0].Kind = "newer"
+	sizes := func(h *harness, destination int) (all []int) {
+		h.calls = nil
+		c := newClient()
+		for i := range 8 {
+			h.handle(c, fmt.Sprintf("OUT.ADD 0 d%d-%d c=status,d=6000,dest=%d x", destination, i, destination))
+		}
+		h.advanceQuietly(5 * time.Millisecond)
+		for _, c := range h.calls {
+			all = append(all, len(c.messages))
+		}
+		return all
+	}
+	check := func(h *harness, ofA, ofB []int) {
+		t.Helper()
+		if a, b := sizes(h, 1), sizes(h, 2); !slices.Equal(a, ofA) || !slices.Equal(b, ofB) {
+			t.Errorf("messages in the calls to a: %v, want %v; to b: %v, want %v", a, ofA, b, ofB)
+		}
+	}
+	// The first two calls are as many as an endpoint without a successful call may have in flight.
+	check(startWith(loadedConfig(t, t.TempDir(), settingsWith(t), list)), []int{1, 1}, []int{3, 3})
+	changed := startWith(loadedConfig(t, t.TempDir(), settingsWith(t), list))
+	if err := changed.configure(clusterapi.Configuration{Version: 1, Settings: settingsWith(t,
+		`"machineTypes":["one","many"]`, `"machineTypes":["one","many","newer"]`, `"bundleMax":[1,3]`, `"bundleMax":[1,5,7]`)}); err != nil {
+		t.Fatal(err)
+	}
+	check(changed, []int{7, 1}, []int{5, 3})
+}
+
 // TestRestartWithStoredVersion checks that a start with the version that an earlier process stored continues with its
 // pending messages and rejects older versions. A start with the file's own settings, which lack the class of a pending
 // message, fails.
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -23,7 +23,6 @@
 	zone        choice.ZoneNo
 	zoneName    string          // unlike zone, it stays valid when new settings renumber the zones
 	listed      directory.Entry // its latest entry
-	bulkMax     int             // most messages of one call
 	gone        bool            // no longer listed at this address and for this destination
 
 	// Values of its entry, for digests.
@@ -38,7 +37,6 @@
 
 	callTimes callTimes // of its successful calls
 
-	turnCall  *call   // the call that collects this turn's messages; nil for none
 	idle      []*link // the link used last is at the end
 	linkCount int     // idle links, busy links and dials in progress
 }
@@ -47,6 +45,7 @@
 type routing struct {
 	endpoints    map[choice.EndpointID]*endpoint
 	starting     []*call                   // calls that begin at the end of this turn
+	startingByID map[choice.CallID]*call   // the same calls, without probes
 	connected    []connectedCall           // calls that are sent at the end of this turn
 	choiceTimers map[choice.TimerID]*timer // timers of package choice; each is removed when it fires or is cancelled
 	// destinationSeen holds when each destination last had an endpoint, as of the last update and since the start. An entry
@@ -60,6 +59,7 @@
 	r.endpoints = map[choice.EndpointID]*endpoint{}
 	r.destinationSeen = map[choice.DestinationID]time.Duration{}
 	r.choiceTimers = map[choice.TimerID]*timer{}
+	r.startingByID = map[choice.CallID]*call{}
 }
 
 // updateEndpoints applies a full endpoint list or an update of it. stale says that the list comes from the configuration,
@@ -122,7 +122,7 @@
 		e.lastAnswerAt = s.learnedAt
 	}
 	e.addr, e.zoneName, e.listed = listed.Addr, listed.Zone, listed
-	e.zone, e.bulkMax = entry.Zone, s.bulkMaxOf(entry.Kind)
+	e.zone = entry.Zone
 	e.destination, e.gone = entry.Destination, entry.Stage == choice.Gone
 	e.kind, e.rating, e.ready = entry.Kind, entry.Rating, entry.Stage == choice.Ready
 }
@@ -152,11 +152,6 @@
 	}
 }
 
-// bulkMaxOf returns how many messages one call to a kind of endpoint may carry.
-func (s *Sender) bulkMaxOf(kind choice.KindNo) int {
-	return kindOf(s.cfg.Settings.Kinds, kind).BulkMax
-}
-
 // kindOf returns the kind of endpoint with a number, or the one with the nearest number if kinds has no such number.
 func kindOf(kinds []choice.Kind, no choice.KindNo) choice.Kind {
 	return kinds[max(0, min(int(no), len(kinds)-1))]
--- a/internal/sender/harness_test.go
+++ b/internal/sender/harness_test.go
@@ -188,6 +188,12 @@
 
 // advance lets time pass in turns, and prints the calls that are in flight at the end.
 func (h *harness) advance(after time.Duration) *harness {
+	h.advanceQuietly(after)
+	return h.printCalls()
+}
+
+// advanceQuietly lets time pass in turns.
+func (h *harness) advanceQuietly(after time.Duration) {
 	for end := h.clock + after; h.clock < end; {
 		h.clock = max(h.clock+5*time.Millisecond, min(end, h.s.timers.next()))
 		h.s.turn()
@@ -195,6 +201,10 @@
 			(<-h.s.inbox)()
 		}
 	}
+}
+
+// printCalls prints the calls that are in flight.
+func (h *harness) printCalls() *harness {
 	for _, c := range h.calls {
 		if !c.done {
 			head, _, _ := h.s.request(c)
--- a/internal/sender/host.go
+++ b/internal/sender/host.go
@@ -28,20 +28,13 @@
 	return e == nil || s.routingPlan.Allowed(id, e.destination, e.zone)
 }
 
-// Attempt adds a message to a call that begins at the end of this turn. Messages to one endpoint share a call, up to the
-// largest bulk call of its kind. The call lasts for the longest timeout of its messages.
-func (s *Sender) Attempt(id choice.MessageID, to choice.EndpointID, timeout choice.Time) {
-	m, e := s.pending[id], s.endpoints[to]
-	if e == nil { // dropped with its last link while package choice still knew it; the call fails to connect
-		e = &endpoint{id: to, gone: true, bulkMax: 1}
-	}
-	c := e.turnCall
-	if c == nil || len(c.messages) >= e.bulkMax {
-		c = &call{endpoint: e, beganAt: s.Now()}
-		if e.turnCall == nil || e.bulkMax > 1 {
-			e.turnCall = c
-		}
-		s.starting = append(s.starting, c)
+// Attempt adds a message to a call that begins at the end of this turn. The call lasts for the longest timeout of its
+// messages.
+func (s *Sender) Attempt(id choice.MessageID, to choice.EndpointID, in choice.CallID, timeout choice.Time) {
+	m, c := s.pending[id], s.startingByID[in]
+	if c == nil {
+		c = s.newCall(to)
+		s.startingByID[in] = c
 	}
 	c.messages = append(c.messages, m)
 	c.timeout = max(c.timeout, timeout)
@@ -52,6 +45,17 @@
 		zap.Float64("within_ms", float64(timeout)/float64(choice.Millisecond)))
 }
 
+// newCall returns a call that begins at the end of this turn.
+func (s *Sender) newCall(to choice.EndpointID) *call {
+	e := s.endpoints[to]
+	if e == nil { // dropped with its last link while package choice still knew it; the call fails to connect
+		e = &endpoint{id: to, gone: true}
+	}
+	c := &call{endpoint: e, beganAt: s.Now()}
+	s.starting = append(s.starting, c)
+	return c
+}
+
 // Shed ends a message that has certainly not run. Its client may submit it again after retryAfter; 0 names no time.
 func (s *Sender) Shed(id choice.MessageID, retryAfter choice.Time) {
 	ms := int64(math.Ceil(float64(retryAfter) / float64(choice.Millisecond)))
--- a/internal/sender/message_parse.go
+++ b/internal/sender/message_parse.go
@@ -51,6 +51,7 @@
 	m.Class, m.Destination, m.Account = class, choice.DestinationID(f.destination), s.account(m.tenant)
 	m.acceptedAt = s.Now()
 	m.Deadline = m.acceptedAt + choice.Time(f.deadlineMS*float64(choice.Millisecond))
+	m.BulkBytes = m.bulkBytes()
 	m.size = journal.FramedSize(len(m.acceptedHead()) + len(m.body) + len(m.acceptedTail()))
 	return m, nil
 }
--- a/internal/sender/outcomes.go
+++ b/internal/sender/outcomes.go
@@ -79,6 +79,7 @@
 func (c *call) outcome(m *message, a answer, took choice.Time) choice.Outcome {
 	o := choice.Outcome{Message: m.ID, Attempt: m.attempts - 1, Endpoint: c.endpoint.id, Duration: took, Result: a.result,
 		Final: a.final, RetryAfter: a.retryAfter, NoSlot: a.noSlot, Report: a.loadReport(), Reused: c.reused, Closed: a.close}
+	o.FormRefused = a.formRefused && len(c.messages) > 1 // a call with one message has no other form
 	if len(c.messages) > 1 && a.result == choice.Done {
 		o.Result, o.Final = choice.Unreadable, false // if the answer lacks the message's state
 		if status, known := bulkStates[a.states[m.ID]]; known {
--- a/internal/sender/replay.go
+++ b/internal/sender/replay.go
@@ -136,6 +136,7 @@
 	}
 	m.Class = s.cfg.ClassNumbers[m.className] // 0 for an unknown class, which sortReplayed rejects
 	m.Key, m.Account = orderKey(m.key), s.account(m.tenant)
+	m.BulkBytes = m.bulkBytes()
 	s.latestRecorded = max(s.latestRecorded, m.acceptedAt)
 	s.pending[id] = m
 	s.accepted = append(s.accepted, m)
--- a/internal/sender/request.go
+++ b/internal/sender/request.go
@@ -62,30 +62,18 @@
 // none of the other messages, though it reported each as done.
 func (s *Sender) bulkRequest(c *call, deadlineMS string) (head, body []byte, err error) {
 	slices.SortStableFunc(c.messages, func(a, b *message) int { return cmp.Compare(b.Deadline, a.Deadline) })
-	items := []byte{'['}
+	items := []byte{bulkBegin}
 	for i, m := range c.messages {
 		body, err := s.loadBody(m)
 		if err != nil {
 			return nil, nil, err
 		}
 		if i > 0 {
-			items = append(items, ',')
+			items = append(items, bulkSeparator)
 		}
 		items = m.appendBulkItem(items, body)
 	}
-	items = append(items, ']')
+	items = append(items, bulkEnd)
 	return http1.AppendRequest(nil, "POST", bulkPath, c.endpoint.addr, len(items),
 		"Content-Type", "application/json", "X-Deadline-Ms", deadlineMS), items, nil
 }
-
-// appendBulkItem appends a message as JSON. Ids and keys consist of visible characters without quotes, so they need no
-// escaping.
-func (m *message) appendBulkItem(out, body []byte) []byte {
-	out = append(out, `{"id":"`...)
-	out = append(out, m.ID...)
-	out = append(out, `","key":"`...)
-	out = append(out, cmp.Or(m.idempotencyKey, m.key)...)
-	out = append(out, `","body":"`...)
-	out = base64.StdEncoding.AppendEncode(out, body)
-	return append(out, `"}`...)
-}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -113,7 +113,7 @@
 		return nil, err
 	}
 	s.loadLearned()
-	s.choice = choice.NewSender(s, choice.SenderID(cfg.Name), cfg.Seed, cfg.Settings)
+	s.choice = choice.NewSender(s, choice.SenderID(cfg.Name), cfg.Seed, withBodyLimit(cfg.Settings))
 	s.learnedStore = s.choice
 	s.updateEndpoints(cfg.InitialList, true)
 	for _, m := range unfinished {
--- a/lab/baseline/baseline.go
+++ b/lab/baseline/baseline.go
@@ -91,6 +91,8 @@
 	inFlight     int         // attempts in flight
 	slowInFlight int         // attempts in flight at slow endpoints, for all_seen
 	timerNo      choice.TimerID
+	callNo       choice.CallID
+	turn         int // number of the current turn
 
 	messages     map[choice.MessageID]*message // an entry is deleted when its message ends
 	timers       map[choice.TimerID]func()     // an entry is deleted when its timer fires
@@ -125,12 +127,20 @@
 	blockedUntil choice.Time // end of a Retry-After that applies to the whole destination
 }
 
+// bulkCall is a call to an endpoint while further messages may join it.
+type bulkCall struct {
+	id       choice.CallID
+	turn     int
+	messages int
+}
+
 // endpoint holds the state of an endpoint.
 type endpoint struct {
 	choice.Entry
 	destination  *destination
 	blockedUntil choice.Time // end of a Retry-After that applies to this endpoint only
 	calls        int         // messages in flight; several may share a bulk call
+	turnCall     bulkCall    // the latest call, which other messages of the same turn may join
 
 	waiting float64 // time until the endpoint would answer a call, in tenths of a millisecond; set by all_seen
 }
--- a/lab/baseline/send.go
+++ b/lab/baseline/send.go
@@ -42,6 +42,19 @@
 		}
 	}
 	p.queue = unsent
+	p.turn++
+}
+
+// joinCall returns the call that carries the next message to an endpoint: the latest one of this turn if it has room, else a
+// new one.
+func (p *policy) joinCall(e *endpoint) choice.CallID {
+	call := &e.turnCall
+	if call.messages == 0 || call.turn != p.turn || call.messages >= p.settings.Kinds[e.Kind].BulkMax {
+		p.callNo++
+		*call = bulkCall{id: p.callNo, turn: p.turn}
+	}
+	call.messages++
+	return call.id
 }
 
 // sortByPriority sorts the queue by rank, the value of a message per time in flight, highest first.
@@ -72,7 +85,7 @@
 	if p.kind == allSeen {
 		timeOut = 4 * p.shortest
 	}
-	p.host.Attempt(m.ID, e.Endpoint, max(1, min(timeOut, m.Deadline-p.host.Now()-2*p.settings.TurnInterval)))
+	p.host.Attempt(m.ID, e.Endpoint, p.joinCall(e), max(1, min(timeOut, m.Deadline-p.host.Now()-2*p.settings.TurnInterval)))
 }
 
 // priority returns the value of a message if it were delivered now.
--- a/lab/referee/referee_test.go
+++ b/lab/referee/referee_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-func (h *faultyHost) Attempt(n choice.MessageID, to choice.EndpointID, timeOut choice.Time) {
+func (h *faultyHost) Attempt(n choice.MessageID, to choice.EndpointID, in choice.CallID, timeOut choice.Time) {
 	if h.defect == "sends to another partner" && h.lastEndpoint != "" {
 		to, h.lastEndpoint = h.lastEndpoint, to
 	} else {
@@ -85,7 +85,7 @@
 	}
 	s := h.inFlight[n]
 	h.inFlight[n] = sent{to, h.Now(), s.attempts + 1}
-	h.Host.Attempt(n, to, timeOut)
+	h.Host.Attempt(n, to, in, timeOut)
 }
 
 func (p *faultyPolicy) AttemptEnded(o choice.Outcome) {
--- a/lab/sim/endpoints.go
+++ b/lab/sim/endpoints.go
@@ -41,7 +41,7 @@
 		e.addr = entry.Address
 	}
 	e.gone = entry.Stage == choice.Gone
-	e.zone, e.bulkMax = choice.ZoneNo(listed.Zone), n.settings.Kinds[listed.Partner.KindNo].BulkMax
+	e.zone = choice.ZoneNo(listed.Zone)
 	return choice.Entry{Endpoint: listed.ID, Destination: choice.DestinationID(listed.Partner.No),
 		Kind: choice.KindNo(listed.Partner.KindNo), Zone: choice.ZoneNo(listed.Zone), Rating: n.e.w.Rating(listed), Stage: entry.Stage}
 }
--- a/lab/sim/host.go
+++ b/lab/sim/host.go
@@ -15,18 +15,12 @@
 	return n.e.opts.Allowed == nil || n.e.opts.Allowed(n.Now(), n.no, id, e)
 }
 
-func (n *node) Attempt(id choice.MessageID, to choice.EndpointID, timeOut choice.Time) {
-	o, e := n.messages[id], n.endpoints[to]
-	if e == nil {
-		e = &endpoint{id: to, gone: true, bulkMax: 1}
-	}
-	c := e.bulkCall
-	if c == nil || len(c.messages) >= e.bulkMax {
-		c = &call{n: n, endpoint: e, startedAt: n.Now()}
-		if e.bulkCall == nil || e.bulkMax > 1 {
-			e.bulkCall = c
-		}
-		n.newCalls = append(n.newCalls, c)
+func (n *node) Attempt(id choice.MessageID, to choice.EndpointID, in choice.CallID, timeOut choice.Time) {
+	o := n.messages[id]
+	c := n.callsByID[in]
+	if c == nil {
+		c = n.newCall(to)
+		n.callsByID[in] = c
 	}
 	c.messages = append(c.messages, o)
 	c.timeout = max(c.timeout, timeOut)
@@ -35,6 +29,17 @@
 	n.scheduleTick()
 }
 
+// newCall returns a call that begins at the end of this tick.
+func (n *node) newCall(to choice.EndpointID) *call {
+	e := n.endpoints[to]
+	if e == nil {
+		e = &endpoint{id: to, gone: true}
+	}
+	c := &call{n: n, endpoint: e, startedAt: n.Now()}
+	n.newCalls = append(n.newCalls, c)
+	return c
+}
+
 func (n *node) Shed(id choice.MessageID, comeBackIn choice.Time) {
 	o := n.messages[id]
 	if o == nil || o.over {
--- a/lab/sim/node.go
+++ b/lab/sim/node.go
@@ -40,6 +40,7 @@
 	acceptedOrder []choice.MessageID                // ids of recorded messages, in the order of acceptance; some may have ended
 	newMessages   []*openMessage                    // messages handed in since the last tick
 	newCalls      []*call                           // calls that the policy began since the last tick
+	callsByID     map[choice.CallID]*call           // the same calls, without probes
 	endpoints     map[choice.EndpointID]*endpoint
 	timers        map[choice.TimerID]bool // timers that are set
 	inFlight      map[*call]struct{}
@@ -59,13 +60,11 @@
 
 // endpoint is the sender's state of one endpoint.
 type endpoint struct {
-	id       choice.EndpointID
-	addr     int
-	zone     choice.ZoneNo
-	bulkMax  int   // most messages in a bulk call
-	gone     bool  // the endpoint is off the list
-	bulkCall *call // call of this tick to which further messages are added while it has room; nil if there is none
-	idle     []*link
+	id   choice.EndpointID
+	addr int
+	zone choice.ZoneNo
+	gone bool // the endpoint is off the list
+	idle []*link
 }
 
 // link is the sender's end of a connection to an endpoint.
@@ -108,6 +107,7 @@
 	n.settings = settings
 	n.endpoints, n.timers, n.inFlight = map[choice.EndpointID]*endpoint{}, map[choice.TimerID]bool{}, map[*call]struct{}{}
 	n.newMessages, n.newCalls, n.tickDue = nil, nil, false
+	n.callsByID = map[choice.CallID]*call{}
 	if n.messages == nil {
 		n.messages = map[choice.MessageID]*openMessage{}
 	}
@@ -168,8 +168,8 @@
 	n.newMessages = n.newMessages[:0]
 	starting := n.newCalls
 	n.newCalls = nil
+	clear(n.callsByID)
 	for _, c := range starting {
-		c.endpoint.bulkCall = nil
 		n.startCall(c)
 	}
 	if len(n.acceptedOrder) > 2*len(n.messages)+1024 {
--- a/lab/sim/replay_test.go
+++ b/lab/sim/replay_test.go
@@ -142,9 +142,9 @@
 	fmt.Fprintf(r.r.sum, "%s %d "+format+"\n", append([]any{r.id, r.Now()}, args...)...)
 }
 
-func (r *recorder) Attempt(n choice.MessageID, to choice.EndpointID, timeOut choice.Time) {
+func (r *recorder) Attempt(n choice.MessageID, to choice.EndpointID, in choice.CallID, timeOut choice.Time) {
 	r.logCall("dispatch %s %s %d", n, to, timeOut)
-	r.Host.Attempt(n, to, timeOut)
+	r.Host.Attempt(n, to, in, timeOut)
 }
 
 func (r *recorder) Shed(n choice.MessageID, in choice.Time) {
