--- a/internal/sender/counters.go
+++ b/internal/sender/counters.go
@@ -83,7 +83,7 @@
 		{"journal_bytes", s.journal.Size()},
 		{"journal_rewritings", n.rewrites},
 		{"owed", int64(len(s.pending))},
-		{"endings_owed", int64(len(s.endings))},
+		{"endings_owed", int64(s.unreported())},
 	}
 }
 
--- a/internal/sender/message.go
+++ b/internal/sender/message.go
@@ -4,6 +4,9 @@
 // endMessage and closeMessage may end it.
 
 import (
+	"bytes"
+	"encoding/json"
+
 	"go.uber.org/zap"
 
 	"flaxcove/choice"
@@ -52,6 +55,29 @@
 	retryMS int64 // for endShed: milliseconds after which the client may submit the message again; 0 if not known
 }
 
+// endingLine is the line of a post to the platform that reports an ending.
+type endingLine struct {
+	Message string `json:"message"`
+	Outcome string `json:"outcome"`
+	RetryIn int64  `json:"retry_in_ms,omitempty"`
+}
+
+// line returns the ending of a message as a line of JSON. Characters that are special in HTML stay as they are: escaped, an id
+// would be up to six times as long.
+func (e ending) line(id choice.MessageID) []byte {
+	line := endingLine{Message: string(id), Outcome: "given_up"}
+	if e.kind == endShed {
+		line.Outcome, line.RetryIn = "handed_back", e.retryMS
+	}
+	var text bytes.Buffer
+	encoder := json.NewEncoder(&text)
+	encoder.SetEscapeHTML(false)
+	if encoder.Encode(line) != nil {
+		return nil // cannot happen: two strings and a number can always be encoded
+	}
+	return text.Bytes()
+}
+
 // closeMessage closes a message: nothing more has to be done for it. A message without an ending counts as delivered.
 func (s *Sender) closeMessage(m *message) {
 	if m.ending.kind == endClosed {
--- a/internal/sender/platform_conn.go
+++ b/internal/sender/platform_conn.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -21,6 +22,9 @@
 
 const postFailed reason = "post_failed"
 
+// errNotConnected says that a post was not sent, because no connection to the platform could be opened.
+var errNotConnected = errors.New("no connection to the platform")
+
 var errNotReusable = errors.New("connection to the platform has ended or has unsolicited input; not used again")
 
 // platformConn is the connection to the platform. It is owned by the goroutine of the one post in flight.
@@ -80,7 +84,7 @@
 	conn, err := netpoll.DialConnection("tcp", addr, postTimeout)
 	if err != nil {
 		p.log(addr, connectFailure, err)
-		return err
+		return fmt.Errorf("%w: %w", errNotConnected, err)
 	}
 	conn.SetReadTimeout(postTimeout)
 	conn.SetWriteTimeout(postTimeout)
