Sender: an error answer quotes 64 bytes of an unknown class

A client chose the length of the answer: a class of 65,000 control characters was quoted whole, with four characters for each, in an answer of 260,021 bytes. An answer of more than 262,144 bytes that waits behind another one ends the connection (slow_reader), and clients take at most 64 KiB of an answer.

Fix: at most 64 bytes of the class are quoted. TestErrorQuotesLittle failed before ("answer of 260021 bytes").

--- a/internal/sender/command_test.go
+++ b/internal/sender/command_test.go
@@ -1,10 +1,13 @@
 package sender
 
 import (
+	"bytes"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
+	"testing"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -44,6 +47,20 @@
 	// client: -ERR dest: no such destination
 }
 
+// TestErrorQuotesLittle guards against answers that are several times as long as the command: an unknown class of 65,000
+// control characters was quoted whole, with four characters for each.
+func TestErrorQuotesLittle(t *testing.T) {
+	h := startWith(loadedConfig(t, t.TempDir(), settingsWith(t), knownList(t)))
+	c := newClient()
+	c.count()
+	class := bytes.Repeat([]byte{1}, 65000)
+	h.s.handleCommand(c, [][]byte{[]byte("OUT.ADD"), []byte("0"), []byte("id"), slices.Concat([]byte("d=9,dest=1,c="), class), []byte("x")})
+	const most = 512 // bytes
+	if !bytes.HasPrefix(c.output, []byte("-ERR c: no class")) || len(c.output) > most {
+		t.Errorf("answer of %d bytes: %.100q", len(c.output), c.output)
+	}
+}
+
 // Late in a graceful shutdown no call begins and messages are rejected. Pending messages stay in the journal.
 func Example_drain() {
 	h := start("", 100)
--- a/internal/sender/message_parse.go
+++ b/internal/sender/message_parse.go
@@ -15,6 +15,7 @@
 
 const (
 	maxID          = 128                 // maximum length in bytes of an id, and of each kind of key
+	maxQuoted      = 64                  // bytes of a client's text that an answer quotes; each may take four bytes there
 	maxDeadlineMS  = 24 * 60 * 60 * 1000 // longest time in milliseconds to the deadline that a message may ask for
 	maxDestination = 1 << 53             // every whole number up to here is exact in a float64
 )
@@ -40,7 +41,7 @@
 	class, known := s.cfg.ClassNumbers[m.className]
 	switch {
 	case !known:
-		return nil, fmt.Errorf("c: no class %q", m.className)
+		return nil, fmt.Errorf("c: no class %q", m.className[:min(len(m.className), maxQuoted)])
 	case f.deadlineMS <= 0 || f.deadlineMS > maxDeadlineMS:
 		return nil, errors.New("d: milliseconds, above 0 and within a day")
 	case m.idempotencyKey != "" && !isVisible([]byte(m.idempotencyKey)):
