Purges: the commands that close purges and add participants fit into the consensus log

What operators would have seen: in a cluster of twelve zones some hundreds of purges opened at once never become complete. With many members of long names, purges never get participants.

The leader closed up to 256 purges in one command, by their number; a comment took that for less than 300 KB, and the log takes 256 KB (machine.MaxBodyBytes). A command that is too long is rejected and was proposed again unchanged in the next step. Join and Leave carried all members at once, without a bound.

Fix: a command carries as many entries as fit, measured as they are encoded (internal/jsonsize), and at least one. The rest follows with the next step.

TestClosuresFitTheLog (36 processes in twelve zones, 600 purges) failed before: "the command has 313258 bytes, the log takes 262144". TestParticipantsFitTheLog (1,200 members with names of 63 characters) failed before: "1 of 1200 members are participants" after 20 s. Both pass now. The simulated consensus of these tests rejects what the real one rejects.

--- a/internal/cluster/leadercall/leadercalltest/leadercalltest.go
+++ b/internal/cluster/leadercall/leadercalltest/leadercalltest.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"flaxcove/internal/cluster/consensus/machine"
 	"flaxcove/internal/cluster/leadercall"
 	"flaxcove/internal/cluster/view"
 )
@@ -174,8 +175,8 @@
 // Consensus returns the Consensus of a process.
 func (n *Net) Consensus(self view.Name) Consensus { return Consensus{n, self} }
 
-// Propose applies a command at once. It fails on a process that is down or does not lead.
-func (c Consensus) Propose(_ context.Context, _, kind string, body any) (json.RawMessage, error) {
+// Propose applies a command at once. It fails on a process that is down or does not lead, and for a command that is too long.
+func (c Consensus) Propose(_ context.Context, part, kind string, body any) (json.RawMessage, error) {
 	c.net.mu.Lock()
 	defer c.net.mu.Unlock()
 	if c.net.leader != c.self || c.net.down[c.self] {
@@ -185,6 +186,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, err := machine.Encode(machine.Command{Part: part, Kind: kind, Body: text}); err != nil {
+		return nil, err
+	}
 	answer, err := c.net.ledger.Apply(0, c.Clock(), kind, text)
 	if c.net.loseAnswerTo == kind {
 		c.net.loseAnswerTo = ""
--- a/internal/cluster/purge/run/leader.go
+++ b/internal/cluster/purge/run/leader.go
@@ -9,15 +9,21 @@
 
 	"go.uber.org/zap"
 
+	"flaxcove/internal/cluster/consensus/machine"
 	"flaxcove/internal/cluster/purge/ledger"
 	"flaxcove/internal/cluster/purge/spread"
 	"flaxcove/internal/cluster/view"
+	"flaxcove/internal/jsonsize"
 	"flaxcove/internal/sender/clusterapi"
 )
 
 // participantSyncInterval is the minimum time between two synchronizations of the participants with the view.
 const participantSyncInterval = time.Second
 
+// maxParticipantsBytes is the length of the longest list in a Join or Leave, in JSON. The rest of the command is shorter than
+// the margin.
+const maxParticipantsBytes = machine.MaxBodyBytes - 1<<10
+
 // leaderWork is the state of the leader's tasks. It is discarded when this process stops being the leader. It is guarded by
 // Runner.mu.
 type leaderWork struct {
@@ -106,7 +112,7 @@
 	for _, to := range state.DueUpdates(now) {
 		r.goroutines.Go(func() { r.sendUpdate(rootState{state}, pathRootUpdate, to) })
 	}
-	if command, due := state.NextClose(maxClosuresPerCommand, now); due && !r.leaderWork.closeInFlight {
+	if command, due := state.NextClose(maxClosuresPerCommand, machine.MaxBodyBytes, now); due && !r.leaderWork.closeInFlight {
 		r.leaderWork.closeInFlight = true
 		r.goroutines.Go(func() { r.proposeClose(command) })
 	}
@@ -143,6 +149,9 @@
 	}
 	leave := ledger.Leave{Instances: r.expiredParticipants(now)}
 	join := ledger.Join{Participants: r.newParticipants()}
+	// Those that don't fit into a command follow with the next synchronization.
+	join.Participants = join.Participants[:jsonsize.Prefix(join.Participants, maxParticipantsBytes)]
+	leave.Instances = leave.Instances[:jsonsize.Prefix(leave.Instances, maxParticipantsBytes)]
 	if join.Participants == nil && leave.Instances == nil {
 		return
 	}
--- a/internal/cluster/purge/run/run.go
+++ b/internal/cluster/purge/run/run.go
@@ -34,7 +34,7 @@
 	proposeTimeout        = 5 * time.Second       // of one proposal; longer than a change of leader, which takes 1 to 2 s
 	defaultCatchUpTimeout = 3 * time.Second       // default of Options.CatchUpTimeout; deadlines of messages are seconds or more
 	maxCandidates         = 8                     // processes asked in one attempt for what only the leader can answer
-	maxClosuresPerCommand = 256                   // less than 300 KB with 12 zones
+	maxClosuresPerCommand = 256                   // fewer where zones or lapsed names make them larger than machine.MaxBodyBytes
 )
 
 // Options configures a Runner. Now, CatchUpTimeout and Log are optional; Consensus and Ledger are set together or not at all.
--- a/internal/cluster/purge/run/run_test.go
+++ b/internal/cluster/purge/run/run_test.go
@@ -187,6 +187,30 @@
 	}
 }
 
+// TestParticipantsFitTheLog guards against participants that never join: the leader proposed all members that had not joined in
+// one command, which is longer than the log takes if they are many and have long names.
+func TestParticipantsFitTheLog(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	const count = 1200
+	long := func(prefix string, i int) string { return fmt.Sprintf("%s%04d", strings.Repeat(prefix, 59), i) }
+	var members []view.Member
+	for i := range count {
+		members = append(members, view.Member{Instance: view.Instance{Name: view.Name(long("p", i)), Incarnation: 1},
+			Zone: view.Zone(long("z", 1)), Region: view.Region(long("r", 1)), FolderID: strings.Repeat("f", 32)})
+	}
+	f := newFleet(members[0].Name)
+	r := f.start(t, members[0], &fakeSender{found: map[uint64]clusterapi.PurgeResult{}}, 20*time.Second)
+	defer r.Close()
+	r.SetView(view.New(members[0].Name, 1, members), leadercalltest.Tree(members))
+	joined := 0
+	for began := time.Now(); joined < count && time.Since(began) < 20*time.Second; time.Sleep(20 * time.Millisecond) {
+		r.options.Consensus.Read(func(uint64) { joined = len(f.ledger.Participants()) })
+	}
+	if joined < count {
+		t.Errorf("%d of %d members are participants", joined, count)
+	}
+}
+
 // TestProcessWithoutPeersBecomesReady checks that a process that reaches no other process becomes ready after CatchUpTimeout, and
 // reports that it has not caught up.
 func TestProcessWithoutPeersBecomesReady(t *testing.T) {
--- a/internal/cluster/purge/spread/leader.go
+++ b/internal/cluster/purge/spread/leader.go
@@ -11,9 +11,13 @@
 
 	"flaxcove/internal/cluster/purge/ledger"
 	"flaxcove/internal/cluster/view"
+	"flaxcove/internal/jsonsize"
 	"flaxcove/internal/sender/clusterapi"
 )
 
+// closeEnvelopeBytes is more than a Close takes in JSON without its closures.
+const closeEnvelopeBytes = 64
+
 // LeaderState holds the acknowledgements that the leader of the consensus group has received. A new leader starts with an
 // empty one and asks the root for a complete report. A process that becomes the leader again must continue with its previous
 // LeaderState: the root may not have noticed the change of leaders, and would not repeat what it has already reported.
@@ -94,9 +98,10 @@
 	return 0
 }
 
-// NextClose returns the command that closes the oldest open purges, at most limit of them, and whether any can be closed. A
-// purge can be closed once all participants have applied it or it is older than the horizon.
-func (l *LeaderState) NextClose(limit int, now view.Uptime) (command ledger.Close, due bool) {
+// NextClose returns the command that closes the oldest open purges, and whether any can be closed. It closes at most limit
+// purges, and no more than fit into a command of maxBytes. A purge can be closed once all participants have applied it or it
+// is older than the horizon.
+func (l *LeaderState) NextClose(limit, maxBytes int, now view.Uptime) (command ledger.Close, due bool) {
 	if len(l.participants) == 0 || l.oldestOpen > l.receivedSeq {
 		return command, false
 	}
@@ -120,6 +125,7 @@
 	for seq := l.oldestOpen; seq <= lastClosable; seq++ {
 		command.Closures = append(command.Closures, l.closure(seq, found[seq]))
 	}
+	command.Closures = command.Closures[:jsonsize.Prefix(command.Closures, maxBytes-closeEnvelopeBytes)]
 	return command, true
 }
 
--- a/internal/cluster/purge/spread/network_test.go
+++ b/internal/cluster/purge/spread/network_test.go
@@ -31,7 +31,7 @@
 	for _, to := range w.leaderState.DueUpdates(w.now) {
 		w.sendUpdate(to, func(report Report) { g.HandleRootAnswer(to.Child, report, w.now) }, func() { g.UpdateFailed(to.Child, w.now) })
 	}
-	if c, any := w.leaderState.NextClose(256, w.now); any {
+	if c, any := w.leaderState.NextClose(256, 256<<10, w.now); any {
 		close := func() {
 			was := w.ledger.OldestOpen()
 			var done ledger.CloseResult
--- a/internal/cluster/purge/spread/simulation_test.go
+++ b/internal/cluster/purge/spread/simulation_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"flaxcove/choice"
+	"flaxcove/internal/cluster/consensus/machine"
 	"flaxcove/internal/cluster/purge/ledger"
 	"flaxcove/internal/cluster/view"
 	"flaxcove/internal/config"
@@ -102,6 +103,9 @@
 // propose applies a command to the ledger and decodes its result.
 func (w *simulation) propose(kind string, c, answer any) {
 	body, _ := json.Marshal(c)
+	if len(body) > machine.MaxBodyBytes {
+		w.fail("%s: the command has %d bytes, the log takes %d", kind, len(body), machine.MaxBodyBytes)
+	}
 	text, err := w.ledger.Apply(0, w.now, kind, body)
 	if err == nil {
 		err = json.Unmarshal(text, answer)
--- a/internal/cluster/purge/spread/spread_test.go
+++ b/internal/cluster/purge/spread/spread_test.go
@@ -73,6 +73,21 @@
 	}
 }
 
+// TestClosuresFitTheLog guards against purges that never close: with twelve zones the command that closes 256 purges at once was
+// longer than the log takes, and was proposed again unchanged.
+func TestClosuresFitTheLog(t *testing.T) {
+	w := newSimulation(t, t.Fatalf, 36, 12, time.Hour)
+	w.now += time.Second
+	const purges = 600
+	for i := range purges {
+		w.open(fmt.Sprintf("k%d", i))
+	}
+	w.settle(3000)
+	if w.ledger.OldestOpen() != purges+1 {
+		t.Fatalf("%d of %d purges closed", w.ledger.OldestOpen()-1, purges)
+	}
+}
+
 // TestPartitionedProcessLapses checks that the acknowledgement of a partitioned process lapses after the longest deadline and not
 // before, and that the process gets the purges that it still needs once it is reachable again.
 func TestPartitionedProcessLapses(t *testing.T) {
