Cluster: health samples, reports and learned state go in as many messages as their length requires

What operators would have seen: with long names of processes and zones, or long ids of endpoints, a coordinator learns nothing of a process with many destinations, and reports of a zone and learned state are lost.

A message carried up to 4,096 samples, 3,000 reports or the state of 64 destinations, by their number; the link takes 1 MB. A message that is too long is not sent. The samples of it were due again together, so the next one was as long.

Fix: a message carries as many entries as fit (internal/jsonsize). Samples go in messages of at most 256 KB, as 1 MB took longer than the 400 ms of a call under the race detector. What doesn't fit into the answer to a request for learned state is answered as destinations without any.

The links in memory of the failover tests refuse what the real one refuses.

--- a/internal/cluster/failover/run/reports.go
+++ b/internal/cluster/failover/run/reports.go
@@ -8,6 +8,7 @@
 	"flaxcove/internal/cluster/failover/assess"
 	"flaxcove/internal/cluster/tree"
 	"flaxcove/internal/cluster/view"
+	"flaxcove/internal/jsonsize"
 )
 
 // reportsMessage carries reports to the parent, or to the leader.
@@ -16,9 +17,12 @@
 	Final   bool            `json:"final,omitempty"` // sent to the leader, which does not forward the reports
 }
 
-// maxReports bounds the number of reports in one message. Further ones stay due and go with a later message.
+// maxReports bounds the number of reports sent at a time. Further ones stay due and go later.
 const maxReports = 3000
 
+// maxReportsBytes is the length in JSON of the longest list of reports in one message; the link's limit is 1 MB.
+const maxReportsBytes = 1000 << 10
+
 // sendReports sends the reports that are due to the parent. If the parent does not answer, they go to the parent's
 // parent, and if that does not answer, to the leader. The root sends them to the leader. At most one call is in flight;
 // reports that become due meanwhile go with the next one.
@@ -40,7 +44,7 @@
 	if len(reports) == 0 {
 		return
 	}
-	r.reporting = r.startCall(func() { r.callWithReports(targets, leader, reports) })
+	r.reporting = r.startCall(func() { r.callWithAll(targets, leader, reports) })
 }
 
 // reportTargets returns the processes to send reports to, in the order in which they are tried, and the leader if that
@@ -59,7 +63,19 @@
 	return append(targets, leader), leader
 }
 
-// callWithReports sends reports to the targets in turn until one answers.
+// callWithAll sends reports in as many messages as their length requires.
+func (r *Runner) callWithAll(targets []view.Name, leader view.Name, reports []assess.Report) {
+	for len(reports) > 0 {
+		fitting := jsonsize.Prefix(reports, maxReportsBytes)
+		r.callWithReports(targets, leader, reports[:fitting])
+		reports = reports[fitting:]
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reporting = false
+}
+
+// callWithReports sends reports in one message to the targets in turn until one answers.
 func (r *Runner) callWithReports(targets []view.Name, leader view.Name, reports []assess.Report) {
 	calls, failed := uint64(0), uint64(0)
 	agesAsOf := r.options.Now()
@@ -81,7 +97,6 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.reporting = false
 	r.stats.ReportCalls, r.stats.Failed = r.stats.ReportCalls+calls, r.stats.Failed+failed
 	r.stats.ReportsSent += uint64(len(reports))
 }
--- a/internal/cluster/failover/run/run_test.go
+++ b/internal/cluster/failover/run/run_test.go
@@ -16,6 +16,7 @@
 	"flaxcove/internal/cluster/failover/assess"
 	"flaxcove/internal/cluster/failover/plan"
 	"flaxcove/internal/cluster/healthreport"
+	"flaxcove/internal/cluster/link"
 	"flaxcove/internal/cluster/tree"
 	"flaxcove/internal/cluster/view"
 )
@@ -61,6 +62,9 @@
 	if err != nil {
 		return err
 	}
+	if len(body) > link.DefaultBodyLimit {
+		return fmt.Errorf("request body has %d bytes", len(body))
+	}
 	l.cluster.mu.Lock()
 	h := l.cluster.handlers[to][path]
 	lost := h == nil || l.cluster.down[to] || l.cluster.down[l.self]
@@ -128,11 +132,11 @@
 	started := time.Now()
 	settings := plan.DefaultSettings()
 	settings.MinPlanInterval, settings.PlanTTL, settings.MinReturnDelay = 50*time.Millisecond, time.Second, 200*time.Millisecond
-	link := testLink{c, m.Name}
+	self := testLink{c, m.Name}
 	c.mu.Lock()
 	delete(c.handlers, m.Name)
 	c.mu.Unlock()
-	r := Start(Options{Self: m.Name, Zone: m.Zone, Now: func() view.Uptime { return time.Since(started) }, Link: link, Consensus: link,
+	r := Start(Options{Self: m.Name, Zone: m.Zone, Now: func() view.Uptime { return time.Since(started) }, Link: self, Consensus: self,
 		InForce: &c.inForce, Tree: func() *tree.Tree { c.mu.Lock(); defer c.mu.Unlock(); return c.tree },
 		HealthReports: func(view.Uptime) []healthreport.Sample { return c.healthReports(m.Zone) },
 		Local: func() apply.Local {
--- a/internal/cluster/feed.go
+++ b/internal/cluster/feed.go
@@ -14,6 +14,7 @@
 	"flaxcove/internal/cluster/failover/apply"
 	"flaxcove/internal/cluster/healthreport"
 	"flaxcove/internal/cluster/view"
+	"flaxcove/internal/jsonsize"
 	"flaxcove/internal/sender/clusterapi"
 )
 
@@ -23,7 +24,7 @@
 
 const (
 	evidencePath    = "/evidence"
-	evidenceTimeout = 400 * time.Millisecond // bounds sending one report
+	evidenceTimeout = 400 * time.Millisecond // bounds sending one message
 	digestQueueSize = 8                      // further digests are dropped, and their counts with them
 	// healthyInterval is the time between two reports of a locality without failures. It is less than half of the age up
 	// to which package assess considers a report (assess.Bounds.MaxAge), so that at least two reports are sent in that
@@ -32,7 +33,10 @@
 	// listingTTL is how long a locality counts as listed after the sender last reported it. The sender reports each one
 	// every five seconds.
 	listingTTL       = 15 * time.Second
-	maxReportSamples = 4096 // samples in one report
+	maxReportSamples = 4096 // samples reported at a time
+	// maxSamplesBytes is the length in JSON of the longest message with samples. It is a quarter of the link's limit, so that the
+	// message is read well within evidenceTimeout.
+	maxSamplesBytes = 256 << 10
 	// sampleSpan is the time over which a failure rate is computed. In the failover model an outage is detected after
 	// 1.5 s; with a span of 2 s it was detected after 3 s.
 	sampleSpan = time.Second
@@ -137,11 +141,21 @@
 	if len(due) == 0 {
 		return
 	}
+	for len(due) > 0 {
+		fitting := jsonsize.Prefix(due, maxSamplesBytes)
+		if n.sendSamples(ctx, coordinator, due[:fitting]) != nil {
+			clear(n.digests.reported) // all localities are due again next time, possibly at another coordinator
+			return
+		}
+		due = due[fitting:]
+	}
+}
+
+// sendSamples sends one message with samples to the zone's coordinator.
+func (n *Node) sendSamples(ctx context.Context, coordinator view.Name, samples []healthreport.Sample) error {
 	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
 	defer cancel()
-	if n.link.Call(ctx, coordinator, evidencePath, due, nil) != nil {
-		clear(n.digests.reported) // all localities are due again next time, possibly at another coordinator
-	}
+	return n.link.Call(ctx, coordinator, evidencePath, samples, nil)
 }
 
 // updateListing updates the localities in which the sender lists endpoints, and publishes them if they changed.
--- a/internal/cluster/link/link.go
+++ b/internal/cluster/link/link.go
@@ -29,8 +29,9 @@
 	readTimeout        = 5 * time.Second  // bounds reading a complete request, against slow clients
 	idleTimeout        = 60 * time.Second // until the server closes an idle connection; calls are half a second apart
 	shutdownGrace      = time.Second      // for responses that are being written when Close is called
-	// defaultBodyLimit bounds the body of a request and of a response. The largest reports take hundreds of kilobytes.
-	defaultBodyLimit = 1 << 20
+	// DefaultBodyLimit bounds the body of a request and of a response, in bytes. The largest reports take hundreds of
+	// kilobytes.
+	DefaultBodyLimit = 1 << 20
 	maxHeaderBytes   = 8 << 10
 	// maxIdleConnsPerPeer and maxConnsPerPeer bound the idle and the open connections to one process. Reports to a
 	// parent, updates to a child and queries may be in flight at the same time. Further calls wait for a free
@@ -60,7 +61,7 @@
 	// process, and responses to its calls, then wait until they time out. It serves test rigs and may be nil.
 	Partitioned func(view.Name) bool
 	CallTimeout time.Duration // of a call whose context has no deadline; 0 stands for defaultCallTimeout
-	BodyLimit   int           // in bytes, of requests and responses; 0 stands for defaultBodyLimit
+	BodyLimit   int           // in bytes, of requests and responses; 0 stands for DefaultBodyLimit
 }
 
 // Link is one process's listener and client for calls within the cluster. It is safe for concurrent use.
@@ -95,7 +96,7 @@
 		opts.CallTimeout = defaultCallTimeout
 	}
 	if opts.BodyLimit <= 0 {
-		opts.BodyLimit = defaultBodyLimit
+		opts.BodyLimit = DefaultBodyLimit
 	}
 	if opts.Log == nil {
 		opts.Log = zap.NewNop()
--- a/internal/cluster/popularity/run/lessons.go
+++ b/internal/cluster/popularity/run/lessons.go
@@ -13,6 +13,7 @@
 	"flaxcove/internal/cluster/popularity/recall"
 	"flaxcove/internal/cluster/tree"
 	"flaxcove/internal/cluster/view"
+	"flaxcove/internal/jsonsize"
 	"flaxcove/internal/sender/clusterapi"
 )
 
@@ -34,7 +35,7 @@
 	maxChanged, minChanged = 64, 1
 	maxInitial, minInitial = 2048, 16
 
-	maxPerCall         = 64   // destinations in a call; about 20 KB
+	maxPerCall         = 64   // destinations in a call; about 20 KB, and fewer where their endpoints take more than maxStateBytes
 	maxQueries         = 1280 // to the sender for one batch
 	maxBatchesInFlight = 2    // further batches are dropped, and their destinations are sent in a later batch
 	resendTicks        = 30   // ticks after which state that has hardly changed is sent again, because receivers discount it by its age
@@ -222,6 +223,7 @@
 func (r *Runner) callWithBatch(coordinator view.Instance, batch learnedBatch) {
 	for rest := batch.destinations; len(rest) > 0; {
 		part := rest[:min(len(rest), maxPerCall)]
+		part = part[:jsonsize.Prefix(part, maxStateBytes)]
 		rest = rest[len(part):]
 		addAge(part, max(0, r.options.Now()-batch.askedAt))
 		err := r.call(coordinator.Name, learnedStatePath, learnedStateMessage{part}, nil)
--- a/internal/cluster/popularity/run/requests.go
+++ b/internal/cluster/popularity/run/requests.go
@@ -10,6 +10,7 @@
 	"flaxcove/choice"
 	"flaxcove/internal/cluster/popularity/recall"
 	"flaxcove/internal/cluster/view"
+	"flaxcove/internal/jsonsize"
 	"flaxcove/internal/sender/clusterapi"
 )
 
@@ -20,6 +21,9 @@
 	requestPath         = "/popularity/ask"
 	maxPerRequest       = 64 // destinations in a call
 	maxRequestsInFlight = 2  // calls
+	// maxStateBytes is the length in JSON of the longest list of learned state in one message; the link's limit is 1 MB. Ages
+	// may grow after the list was measured.
+	maxStateBytes = 960 << 10
 )
 
 // learnedStateRequest asks for the learned state of destinations.
@@ -159,5 +163,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.lookUp(request.Destinations), nil
+	answer := r.lookUp(request.Destinations)
+	// Destinations that don't fit are answered as those without learned state.
+	answer.Destinations = answer.Destinations[:jsonsize.Prefix(answer.Destinations, maxStateBytes)]
+	return answer, nil
 }
--- a/internal/cluster/purge/spread/spread_test.go
+++ b/internal/cluster/purge/spread/spread_test.go
@@ -255,6 +255,30 @@
 	w.startAttempts(low)
 }
 
+// TestLongNamesFitTheLink checks that a complete report stays below the link's message size in a tree of twice the largest
+// planned cluster, if all names have the longest length, all processes but one are behind, and there are as many findings as it takes.
+func TestLongNamesFitTheLink(t *testing.T) {
+	const members = 2000
+	s := New(view.Instance{Name: "p"}, "f", 0)
+	below := &child{reported: true}
+	for i := range members {
+		name := view.Name(fmt.Sprintf("%s%04d", strings.Repeat("p", 59), i))
+		below.progress = append(below.progress, Progress{view.Instance{Name: name, Incarnation: ^view.Incarnation(0)}, uint64(1e9 + i)})
+		if i >= MaxFindingsPerMessage {
+			continue // more findings would hide the progress of those behind
+		}
+		s.findings[findingKey{uint64(1e9 + i), name, strings.Repeat("f", 32)}] = &finding{incarnation: ^view.Incarnation(0),
+			found: clusterapi.PurgeResult{NotBegun: 1e6, MayRun: 1e6, Delivered: 1e6, LearnedState: 1e6}}
+	}
+	s.children["c"], s.childNames = below, []view.Name{"c"}
+	report := s.makeReport(false, 0)
+	if text, err := json.Marshal(report); err != nil || len(text) > 1<<20 || len(report.Findings) != MaxFindingsPerMessage || len(report.Behind) != members {
+		t.Errorf("report with %d findings: %d bytes, error %v", len(report.Findings), len(text), err)
+	} else {
+		t.Logf("%d bytes with %d findings", len(text), len(report.Findings))
+	}
+}
+
 // TestLongKeysFitTheLink checks that updates stay below the link's message size if all keys have the longest length and consist of
 // characters that JSON escapes.
 func TestLongKeysFitTheLink(t *testing.T) {
