Bulk calls: messages behind a large one may join open calls only, and no memory for each endpoint

A message that was too large for the open calls let older messages of its queue be tried without a restriction, so that one of them could open a call of its own in its place. They may only join now.

The open calls of an endpoint are allocated when it has any, and BulkBytes takes what was padding.

The laboratory's endpoints and its platform don't take bodies over 64 KiB.

--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -47,7 +47,6 @@
 		id:            s.lastCall,
 		endpoint:      ep,
 		sentAt:        s.now,
-		turn:          s.turnNumber,
 		rejectedRetry: msg.rejected,
 		newConnection: ep.inFlight == 0 && s.now >= ep.idleConnUntil,
 	}
--- a/choice/bulkcalls_test.go
+++ b/choice/bulkcalls_test.go
@@ -23,7 +23,7 @@
 			return host.trace
 		}
 		const smallest = 100 // bytes; see loadHost.offerLoad
-		single, large := run(1, 0), run(3, smallest)
+		single, large := run(1, 0), run(3, 2*smallest-1)
 		if i := firstDifference(single, large); i >= 0 {
 			t.Errorf("fleet %v, line %d of %d: without bulk calls %q, with large messages %q", fleet, i, len(single),
 				single[i:min(len(single), i+1)], large[i:min(len(large), i+1)])
@@ -45,7 +45,7 @@
 // Attempt checks that a call which several messages share is within its limits, and that no call is opened for a message
 // which fits into another one.
 func (h *sharingHost) Attempt(id MessageID, to EndpointID, in CallID, timeOut Time) {
-	set, size := h.sender.settings, h.sender.messages[id].BulkBytes
+	set, size := h.sender.settings, int(h.sender.messages[id].BulkBytes)
 	fits := func(call CallID) bool {
 		sum := size
 		for _, other := range h.bytes[call] {
@@ -87,7 +87,7 @@
 		for i, size := range sizes {
 			id := MessageID(fmt.Sprint("m", i))
 			numbers[id], keys[id] = i, OrderKey(rapid.IntRange(-1, 5).Draw(t, "key"))
-			fake.sender.Accept(Message{ID: id, Class: ordered, Key: keys[id], Destination: 2, Deadline: 6 * Second, BulkBytes: size})
+			fake.sender.Accept(Message{ID: id, Class: ordered, Key: keys[id], Destination: 2, Deadline: 6 * Second, BulkBytes: int32(size)})
 		}
 		for range sizes {
 			host.order = nil
@@ -124,7 +124,7 @@
 		host := startSender(set)
 		for i, size := range []int{10, 101, 30, 70, 40} { // the newest is sent first
 			host.sender.Accept(Message{ID: MessageID(fmt.Sprint(size, " bytes")), Key: NoKey, Destination: 2,
-				Deadline: 6*Second + Time(i), BulkBytes: size})
+				Deadline: 6*Second + Time(i), BulkBytes: int32(size)})
 		}
 		host.sender.TurnEnd()
 		for _, call := range host.sender.calls {
--- a/choice/doc.go
+++ b/choice/doc.go
@@ -16,6 +16,7 @@
 //   - backlog.go: accepting, shedding and ending messages
 //   - queues.go, retries.go, timers.go: order of messages, retry backoff, timers
 //   - selection.go, ranking.go, attempts.go: which message goes to which endpoint, and its time-out
+//   - bulkcalls.go: which messages share a call
 //   - outcomes.go, connections.go: what is learned from the outcomes of calls
 //   - ratelimit.go, retryafter.go, notes.go: rate limits of routes, found by this sender or reported by others
 //   - outlier.go, slowstart.go: ejection of failing endpoints, and their slow start after an outage
--- a/choice/inputs.go
+++ b/choice/inputs.go
@@ -43,13 +43,13 @@
 	Key         OrderKey  // NoKey for none
 	Deadline    Time      // on the host's clock
 	Destination DestinationID
-	// BulkBytes is the number of bytes that the message adds to the body of a bulk call, its separator included; 0 if
-	// the host doesn't know it.
-	BulkBytes int
 	// AcceptedLifetime is the time that the message had until its deadline when an earlier incarnation accepted it. It
 	// is 0 for new messages from a client, which may still be rejected. A restarted sender uses it so as not to shed
 	// much of a full backlog, or messages whose time was short from the start.
 	AcceptedLifetime Time
+	// BulkBytes is the number of bytes that the message adds to the body of a bulk call, its separator included; 0 if
+	// the host doesn't know it.
+	BulkBytes int32
 	// MayRun is set for a message that an earlier incarnation accepted if one of its attempts may have run. RanAt is
 	// the time when that attempt was sent, and RanIn is the zone of its endpoint.
 	MayRun bool
--- a/choice/loadhost_test.go
+++ b/choice/loadhost_test.go
@@ -217,7 +217,7 @@
 		h.schedule(at, -1, func() {
 			set := h.sender.settings
 			msg := Message{ID: id, Class: ClassNo(class % len(set.Classes)), Account: AccountNo(account % len(set.Quotas)),
-				Key: OrderKey(class % 7), Destination: DestinationID(class / 2 % 2), BulkBytes: 100 * (1 + class%5)}
+				Key: OrderKey(class % 7), Destination: DestinationID(class / 2 % 2), BulkBytes: int32(100 * (1 + class%5))}
 			msg.Deadline = h.clock + set.Classes[msg.Class].Deadline
 			before := len(h.sender.messages)
 			h.sender.Accept(msg)
--- a/choice/selection.go
+++ b/choice/selection.go
@@ -61,46 +61,57 @@
 	return best, to
 }
 
+// obstacle is why a message can't use an endpoint that other messages of its queue may be able to use.
+type obstacle int
+
+const (
+	noObstacle obstacle = iota
+	tooLarge            // it doesn't fit into the open calls
+	disallowed          // the host doesn't allow the endpoint
+)
+
 // newestSendable returns the newest message of a queue and an endpoint that it can go to, or nil if no endpoint can
-// take it. If it is not allowed to use the available endpoints, or too large for the calls that are open, some older
-// messages are tried, as this may not apply to them.
+// take it. If it is not allowed to use the available endpoints, some older messages are tried, as they may be allowed
+// to. If it is too large for the calls that are open, some older messages may join these.
 func (s *Sender) newestSendable(dest *destination, queue *list.List) (*message, *endpoint) {
 	element := queue.Back()
+	joinOnly := false
 	for scanned := 0; element != nil && scanned < maxScanned; scanned++ {
 		msg := element.Value.(*message)
-		bulkOnly := msg.rejected && dest.rejectedRetriesInFlight >= s.maxRejectedRetries
-		ep, othersMayGo := s.selectEndpoint(msg, bulkOnly)
+		bulkOnly := joinOnly || msg.rejected && dest.rejectedRetriesInFlight >= s.maxRejectedRetries
+		ep, why := s.selectEndpoint(msg, bulkOnly)
 		if ep != nil {
 			return msg, ep
 		}
-		if !othersMayGo {
+		if why == noObstacle {
 			return nil, nil
 		}
+		joinOnly = joinOnly || why == tooLarge
 		element = element.Prev()
 	}
 	return nil, nil
 }
 
-// selectEndpoint returns the endpoint that a message can go to now, or nil, and whether other messages of its queue may go
-// to an endpoint that it can't use. With bulkOnly, no new call may be opened for it.
+// selectEndpoint returns the endpoint that a message can go to now, or nil, and the greatest obstacle. With bulkOnly, no new
+// call may be opened for it.
 //
 // It returns the best ranked endpoint that can take the message. A message that was rejected prefers an endpoint with a
 // lower rejection share than the last one. An ejected endpoint whose trial is due comes last.
-func (s *Sender) selectEndpoint(msg *message, bulkOnly bool) (to *endpoint, othersMayGo bool) {
+func (s *Sender) selectEndpoint(msg *message, bulkOnly bool) (to *endpoint, why obstacle) {
 	var trial, rejecting *endpoint
 	for _, ep := range msg.destination.ranked {
 		if !s.usable(msg, ep) {
 			continue
 		}
 		if !s.boundToZone(msg) && !s.host.Allowed(msg.ID, ep.id) {
-			othersMayGo = true
+			why = disallowed
 			continue
 		}
 		if !ep.ejected && s.hasJoinable(ep) {
 			if s.joinableCall(msg, ep) != nil {
-				return ep, othersMayGo
+				return ep, why
 			}
-			othersMayGo = true
+			why = max(why, tooLarge)
 		}
 		if bulkOnly || len(s.calls) >= s.settings.InFlightLimit || !s.retryBudgetAllows(msg) {
 			continue
@@ -115,16 +126,16 @@
 			continue
 		}
 		if msg.lastEndpoint == nil || ep.rejectedShare < msg.lastEndpoint.rejectedShare {
-			return ep, othersMayGo
+			return ep, why
 		}
 		if rejecting == nil {
 			rejecting = ep
 		}
 	}
 	if rejecting != nil {
-		return rejecting, othersMayGo
+		return rejecting, why
 	}
-	return trial, othersMayGo
+	return trial, why
 }
 
 // usable reports whether an endpoint takes calls and may be sent this message.
--- a/choice/state.go
+++ b/choice/state.go
@@ -105,9 +105,9 @@
 	listed      bool // the endpoint list has the endpoint as Ready
 	probing     bool // a health probe is in flight
 
-	inFlight         int     // calls in flight
-	concurrencyLimit float64 // most calls in flight, adapted by their outcomes
-	joinable         []*call // calls of one turn that further messages of the same turn may join
+	inFlight         int        // calls in flight
+	concurrencyLimit float64    // most calls in flight, adapted by their outcomes
+	openCalls        *openCalls // nil until a call has room for further messages
 	sent             rateMeter
 	slowStart        tokenBucket // limits calls while the endpoint is ejected or in slow start
 
@@ -139,6 +139,12 @@
 	previousSlowStartAt Time // beginning of the slow start before the ejection
 }
 
+// openCalls are the calls of one turn to an endpoint that further messages of that turn may join.
+type openCalls struct {
+	turn  int // value of Sender.turnNumber
+	calls []*call
+}
+
 // call is one call to an endpoint. It carries the messages sent to the endpoint in one turn, exists until all of them
 // have their outcomes, and counts as one towards the in-flight limit.
 type call struct {
@@ -148,7 +154,6 @@
 	messages int // number of messages carried
 	bytes    int // sum of their Message.BulkBytes
 	pending  int // number of messages without an outcome
-	turn     int // value of Sender.turnNumber when it was sent
 
 	rejectedRetry  bool // opened for the retry of a rejected message
 	newConnection  bool // no idle connection was known
--- a/internal/sender/bulk_item.go
+++ b/internal/sender/bulk_item.go
@@ -42,9 +42,9 @@
 func (m *message) bulkKey() string { return cmp.Or(m.idempotencyKey, m.key) }
 
 // bulkBytes returns the number of bytes that a message adds to the body of a bulk call, with a separator.
-func (m *message) bulkBytes() int {
+func (m *message) bulkBytes() int32 {
 	const texts = len(bulkItemID) + len(bulkItemKey) + len(bulkItemBody) + len(bulkItemEnd) + len(string(bulkSeparator))
-	return texts + len(m.ID) + len(m.bulkKey()) + base64.StdEncoding.EncodedLen(m.bodySize())
+	return int32(texts + len(m.ID) + len(m.bulkKey()) + base64.StdEncoding.EncodedLen(m.bodySize()))
 }
 
 // appendBulkItem appends a message as JSON. Ids and keys consist of visible characters without quotes, so they need no
--- a/internal/sender/outcome_reporter.go
+++ b/internal/sender/outcome_reporter.go
@@ -93,7 +93,7 @@
 		s.onPostFailed(post, err)
 	}
 	s.counts.postsFailed++
-	s.log.Warn("platform did not accept a post of endings; they are posted again", zap.Int("status", status),
+	s.log.Warn("platform did not accept a post of endings; it is repeated", zap.Int("status", status),
 		zap.Int("endings", len(post.messages)), zap.Int("next_limit", s.postLimit), zap.Error(err))
 }
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -12,7 +12,7 @@
 //   - command.go, message_parse.go, message.go, admission.go: checks, admission, the end of a message
 //   - records.go, replay.go: the records of the journal, and their replay at the start
 //   - endpoints.go, host.go: the endpoint list, and the implementation of choice.Host
-//   - call.go, request.go, send.go, links.go, endpoint_input.go: calls and connections to endpoints
+//   - call.go, request.go, bulk_item.go, send.go, links.go, endpoint_input.go: calls and connections to endpoints
 //   - answer.go, outcomes.go: from an endpoint's answer to the outcome of a call
 //   - outcome_reporter.go, platform_conn.go: reports to the platform
 //
--- a/lab/live/directory.go
+++ b/lab/live/directory.go
@@ -4,6 +4,7 @@
 // content of the list and the time of updates.
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -196,8 +197,14 @@
 
 // serveOutcomes handles an outcome callback as the platform does. A callback from an isolated sender gets no answer.
 func (d *discoveryServer) serveOutcomes(out http.ResponseWriter, r *http.Request) {
-	lines, err := readOutcomes(r.Body)
-	if err != nil {
+	body, err := readBody(r.Body)
+	if errors.Is(err, errBodyTooLong) {
+		d.e.post(func() {
+			d.e.failure = fmt.Sprintf("an outcome callback of sender %d cannot be read: %v", d.sender, err)
+		})
+	}
+	lines, parseErr := readOutcomes(bytes.NewReader(body))
+	if err = errors.Join(err, parseErr); err != nil {
 		http.Error(out, "line", http.StatusBadRequest)
 		return
 	}
--- a/lab/live/endpoints.go
+++ b/lab/live/endpoints.go
@@ -208,12 +208,23 @@
 	}
 }
 
+var errBodyTooLong = fmt.Errorf("the body is longer than %d bytes", maxBody)
+
+// readBody reads a body, which may have maxBody bytes.
+func readBody(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxBody+1))
+	if err == nil && len(body) > maxBody {
+		err = errBodyTooLong
+	}
+	return body, err
+}
+
 // readCall returns the ids of a call's messages, or whether it is a health probe.
 func readCall(req *http.Request) (ids []choice.MessageID, probe bool, err error) {
 	if req.Method == http.MethodGet {
 		return nil, true, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(req.Body, 2<<20))
+	body, err := readBody(req.Body)
 	if err != nil {
 		return nil, false, err
 	}
--- a/lab/live/live.go
+++ b/lab/live/live.go
@@ -35,7 +35,7 @@
 	maxSenders   = 120
 	maxEndpoints = 4000     // most listeners: the number of endpoints times the number of senders
 	maxTasks     = 4096     // most tasks that wait for the world's goroutine; then post blocks
-	maxBody      = 64 << 10 // longest body of a message in bytes
+	maxBody      = 64 << 10 // longest body of a message, a call or an outcome callback in bytes
 )
 
 // ErrTooLarge is the error of Run for a scenario that needs too many sockets for one machine.
--- a/lab/live/live_test.go
+++ b/lab/live/live_test.go
@@ -107,6 +107,24 @@
 			t.Errorf("failure %q, want none; %d of %d messages delivered, want 90%% of at least 500; violations %v, want none", r.Fault, r.Delivered, r.Asked, r.Violations)
 		}
 	})
+	t.Run("bodies stay within the protocol's limit", func(t *testing.T) {
+		// With bodies of 12,000 bytes and calls of up to ten messages, a clump does not fit into one call.
+		spec := shortSpec()
+		spec.Faults, spec.Changes = nil, nil
+		spec.Load.BodyBytes, spec.Load.ClumpShare = 12000, 0.5
+		spec.Partners = []world.PartnerKind{{Name: "bulk", Count: 2, Bundle: 10}}
+		spec.Defaults()
+		r, err := Run(context.Background(), Options{Spec: spec, Seed: 1, Command: []string{binary, "serve"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Void != "" {
+			t.Skip(r.Void)
+		}
+		if r.Fault != "" || r.Broken() || r.Delivered < r.Asked || r.Asked < 100 {
+			t.Errorf("failure %q, want none; %d of %d messages delivered, want all of at least 100; violations %v, want none", r.Fault, r.Delivered, r.Asked, r.Violations)
+		}
+	})
 	t.Run("a sender that does not start", func(t *testing.T) {
 		began := time.Now()
 		_, err := Run(context.Background(), Options{Spec: shortSpec(), Seed: 1, Command: []string{binary, "serv"}})
