Sender: the reader of sockets lets others run after sixteen answers of endpoints, not after each

Cause, in part: since the goroutine that reads all sockets calls Gosched after it has started the task of each endpoint's answer, so that endless answers are read before more arrives. It then waits in the global queue, behind all that is ready, while other answers and commands lie in the sockets; on few processors a request takes about a turn more.

Fix: it does so after each sixteenth such task. Answers that are not read yet take half a megabyte at most.

--- a/internal/sender/client_input.go
+++ b/internal/sender/client_input.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"runtime"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -23,6 +24,13 @@
 	receiveBuffer = 32 << 10
 )
 
+// endpointTasksPerYield is the number of tasks with answers of endpoints that the goroutine that reads all sockets starts before
+// it lets them run. Each answer that is not read yet takes up to receiveBuffer.
+const endpointTasksPerYield = 16
+
+// endpointTasks counts the tasks with answers of endpoints.
+var endpointTasks atomic.Uint64
+
 func init() {
 	if err := netpoll.Configure(netpoll.Config{Runner: runCallback}); err != nil {
 		panic(err) // only with settings that are not made here
@@ -41,7 +49,9 @@
 	c, isClient := ctx.Value(clientKey{}).(*client)
 	if !isClient {
 		go task()
-		runtime.Gosched() // the task goes first, so that it reads before more input arrives
+		if endpointTasks.Add(1)%endpointTasksPerYield == 0 {
+			runtime.Gosched() // the tasks go first, so that they read before more input arrives
+		}
 		return
 	}
 	if c.received.Len() == 0 {
